--- /dev/null
+++ b/monsoonproxy/clock.py
@@ -0,0 +1,38 @@
+"""Time in milliseconds."""
+
+import time
+from typing import NewType
+
+Millis = NewType('Millis', int)
+
+_NANOS_PER_MILLI = 1_000_000
+
+
+class Clock:
+    """Reads monotonic time.
+
+    Decision modules never read a clock: their callers pass the time in.
+    """
+
+    def now(self) -> Millis:
+        """Return the monotonic time.
+
+        :returns: Milliseconds since an arbitrary start.
+        """
+        return Millis(time.monotonic_ns() // _NANOS_PER_MILLI)
+
+    def wall(self) -> Millis:
+        """Return the wall-clock time, for reports and expiry dates only.
+
+        :returns: Milliseconds since the Unix epoch.
+        """
+        return Millis(time.time_ns() // _NANOS_PER_MILLI)
+
+
+def seconds(duration: int) -> float:
+    """Convert a duration to seconds.
+
+    :param duration: A duration in ms.
+    :returns: The same duration in seconds.
+    """
+    return duration / 1000
--- /dev/null
+++ b/monsoonproxy/exceptions.py
@@ -0,0 +1,82 @@
+"""The exception tree.
+
+Each layer raises its own errors and converts the errors of the layer below.
+"""
+
+
+class MonsoonError(Exception):
+    """Base of all errors of the package."""
+
+
+class SettingsError(MonsoonError):
+    """A daemon's settings file is not valid."""
+
+
+class ConfigurationError(MonsoonError):
+    """A service declaration is not valid."""
+
+
+class ConflictError(ConfigurationError):
+    """Another operator's configuration was accepted first."""
+
+
+class StatementError(MonsoonError):
+    """A statement or its marks can't be accepted."""
+
+
+class MarksError(StatementError):
+    """A mark on a request is unknown or out of range."""
+
+
+class TokenError(MonsoonError):
+    """A session token is malformed, forged or expired."""
+
+
+class PlatformError(MonsoonError):
+    """The platform's service failed or did not answer in time."""
+
+
+class PreconditionError(PlatformError):
+    """A conditional write was refused: the stored version differs."""
+
+
+class PeerError(MonsoonError):
+    """Another daemon can't be reached."""
+
+
+class BackendError(MonsoonError):
+    """A backend server refused or failed a statement.
+
+    :param code: The MySQL error code.
+    :param sqlstate: The five-character SQLSTATE.
+    :param message: The message of the backend server.
+    """
+
+    def __init__(self, code: int, sqlstate: str, message: str) -> None:
+        super().__init__(code, sqlstate, message)
+        self.code = code
+        self.sqlstate = sqlstate
+        self.message = message
+
+
+class TooManyConnectionsError(BackendError):
+    """The backend server has reached its connection limit (1040)."""
+
+
+class TermChangedError(BackendError):
+    """The transaction was rolled back because the term changed (3100)."""
+
+
+class ConnectionLostError(MonsoonError):
+    """A connection to a backend server broke.
+
+    :param sent: Whether the statement may have reached the backend server.
+    :param refused: Whether the backend server's host refused the connection.
+    """
+
+    def __init__(
+        self, message: str, *, sent: bool = False, refused: bool = False
+    ) -> None:
+        super().__init__(message)
+        self.sent = sent
+        self.refused = refused
--- /dev/null
+++ b/tests/fixtures.py
@@ -0,0 +1,92 @@
+"""Test functions with shared fixtures.
+
+A fixture is a generator function, sync or async, that yields its value once.
+A test function names the fixtures it uses as its parameters.
+"""
+
+import asyncio
+import contextlib
+import inspect
+import sys
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+import uvloop
+
+_fixtures: dict[str, Callable[..., Any]] = {}
+
+
+def fixture(function: Callable[..., Any]) -> Callable[..., Any]:
+    """Register a fixture under its function name.
+
+    :param function: A generator function that yields once.
+    :returns: The same function.
+    """
+    _fixtures[function.__name__] = function
+    return function
+
+
+def load_functions(module_name: str) -> Callable[..., unittest.TestSuite]:
+    """Return a ``load_tests`` hook for the test functions of a module.
+
+    :param module_name: The module's ``__name__``.
+    :returns: The hook that ``unittest`` calls.
+    """
+
+    def load_tests(*_protocol: Any) -> unittest.TestSuite:
+        module = sys.modules[module_name]
+        suite = unittest.TestSuite()
+        for name, function in vars(module).items():
+            if name.startswith('test_') and inspect.isfunction(function):
+                suite.addTest(_case(module_name, name, function))
+        return suite
+
+    return load_tests
+
+
+def _case(
+    module_name: str, name: str, function: Callable[..., Any]
+) -> unittest.FunctionTestCase:
+    case = unittest.FunctionTestCase(
+        lambda: _run(function), description=f'{module_name}.{name}'
+    )
+    return case
+
+
+def _run(function: Callable[..., Any]) -> None:
+    uvloop.install()
+    asyncio.run(_run_with_fixtures(function))
+
+
+async def _run_with_fixtures(function: Callable[..., Any]) -> None:
+    async with contextlib.AsyncExitStack() as stack:
+        arguments = await _resolve(function, stack, {})
+        outcome = function(**arguments)
+        if inspect.isawaitable(outcome):
+            await outcome
+
+
+async def _resolve(
+    function: Callable[..., Any],
+    stack: contextlib.AsyncExitStack,
+    cache: dict[str, Any],
+) -> dict[str, Any]:
+    names = list(inspect.signature(function).parameters)
+    for name in names:
+        if name not in cache:
+            maker = _fixtures[name]
+            needed = await _resolve(maker, stack, cache)
+            cache[name] = await _enter(maker, needed, stack)
+    return dict(zip(names, map(cache.__getitem__, names), strict=True))
+
+
+async def _enter(
+    maker: Callable[..., Any],
+    needed: dict[str, Any],
+    stack: contextlib.AsyncExitStack,
+) -> Any:
+    if inspect.isasyncgenfunction(maker):
+        manager = contextlib.asynccontextmanager(maker)(**needed)
+        return await stack.enter_async_context(manager)
+    return stack.enter_context(contextlib.contextmanager(maker)(**needed))
