--- a/monsoonproxy/registries.py
+++ b/monsoonproxy/registries.py
@@ -25,7 +25,7 @@
         :returns: The decorator, which returns its argument unchanged.
         """
 
-        def decorator(entry: _Entry) -> _Entry:  # noqa: WPS430
+        def decorator(entry: _Entry) -> _Entry:
             self._entries[name] = entry
             return entry
 
