--- /dev/null
+++ b/monsoonproxy/fields.py
@@ -0,0 +1,189 @@
+"""Checked fields of settings classes.
+
+Each field carries its range and a description, from which the settings
+reference is generated.
+"""
+
+import ipaddress
+import re
+from collections.abc import Callable
+from typing import Any, TypeAlias
+
+import attrs
+
+Check: TypeAlias = Callable[[Any], str | None]
+
+_REFERENCE = re.compile(r'(env:[A-Za-z_]\w*|file:/\S+)')
+_HEX_HASH = re.compile(r'[0-9a-f]{40}')
+
+
+class FieldError(ValueError):
+    """A field has a value out of its range.
+
+    :param key: Name of the field.
+    :param text: What is wrong.
+    """
+
+    def __init__(self, key: str, text: str) -> None:
+        super().__init__(text)
+        self.key = key
+
+
+def setting(check: Check, text: str, allowed: str, **options: Any) -> Any:
+    """Return a checked attrs field.
+
+    :param check: Returns what is wrong with a value, or ``None``.
+    :param text: Description for the settings reference.
+    :param allowed: Description of the accepted values.
+    :param options: Options of :func:`attrs.field`, such as ``default``.
+    :returns: The field.
+    """
+
+    def validator(_owner: Any, field: Any, value: Any) -> None:
+        wrong = check(value)
+        if wrong is not None:
+            raise FieldError(field.name, wrong)
+
+    metadata = {'text': text, 'allowed': allowed}
+    return attrs.field(validator=validator, metadata=metadata, **options)
+
+
+def number(low: float, high: float, text: str, **options: Any) -> Any:
+    """Return a field for a number in a range.
+
+    :param low: Lowest accepted value.
+    :param high: Highest accepted value.
+    :param text: Description for the settings reference.
+    :param options: Options of :func:`attrs.field`.
+    :returns: The field.
+    """
+
+    def check(value: float) -> str | None:
+        if low <= value <= high:
+            return None
+        return f'{value} is out of range {low} to {high}'
+
+    return setting(check, text, f'{low} to {high}', **options)
+
+
+def choice(names: tuple[str, ...], text: str, **options: Any) -> Any:
+    """Return a field for one of some words.
+
+    :param names: Accepted values.
+    :param text: Description for the settings reference.
+    :param options: Options of :func:`attrs.field`.
+    :returns: The field.
+    """
+    listed = ', '.join(names)
+
+    def check(value: str) -> str | None:
+        return None if value in names else f'{value!r} is not one of: {listed}'
+
+    return setting(check, text, f'one of: {listed}', **options)
+
+
+def address(text: str, **options: Any) -> Any:
+    """Return a field for an ``ip:port`` address.
+
+    :param text: Description for the settings reference.
+    :param options: Options of :func:`attrs.field`.
+    :returns: The field.
+    """
+    return setting(_check_address, text, 'ip:port', **options)
+
+
+def optional_address(text: str, **options: Any) -> Any:
+    """Return a field for an ``ip:port`` address or ``None``.
+
+    :param text: Description for the settings reference.
+    :param options: Options of :func:`attrs.field`.
+    :returns: The field.
+    """
+
+    def check(value: str | None) -> str | None:
+        return None if value is None else _check_address(value)
+
+    return setting(check, text, 'ip:port', **options)
+
+
+def addresses(text: str, **options: Any) -> Any:
+    """Return a field for a list of ``ip:port`` addresses.
+
+    :param text: Description for the settings reference.
+    :param options: Options of :func:`attrs.field`.
+    :returns: The field.
+    """
+
+    def check(items: tuple[str, ...]) -> str | None:
+        return next(filter(None, map(_check_address, items)), None)
+
+    return setting(check, text, 'list of ip:port', **options)
+
+
+def word(text: str, **options: Any) -> Any:
+    """Return a field for a name that is not empty.
+
+    :param text: Description for the settings reference.
+    :param options: Options of :func:`attrs.field`.
+    :returns: The field.
+    """
+
+    def check(value: str | None) -> str | None:
+        return 'must not be empty' if value == '' else None
+
+    return setting(check, text, 'text', **options)
+
+
+def reference(text: str, **options: Any) -> Any:
+    """Return a field that says where a secret is, not the secret itself.
+
+    :param text: Description for the settings reference.
+    :param options: Options of :func:`attrs.field`.
+    :returns: The field.
+    """
+
+    def check(value: str) -> str | None:
+        if _REFERENCE.fullmatch(value):
+            return None
+        # The value isn't repeated: it may be a password put here by mistake.
+        return "must be 'env:NAME' or 'file:/PATH', not the secret itself"
+
+    return setting(check, text, 'env:NAME or file:/PATH', **options)
+
+
+def password_hash(text: str, **options: Any) -> Any:
+    """Return a field for the hash of a caller's password.
+
+    :param text: Description for the settings reference.
+    :param options: Options of :func:`attrs.field`.
+    :returns: The field.
+    """
+
+    def check(value: str) -> str | None:
+        if _HEX_HASH.fullmatch(value):
+            return None
+        return 'must be the hexadecimal SHA1(SHA1(password)) in lower case'
+
+    return setting(check, text, '40 hexadecimal digits', **options)
+
+
+def anything(text: str, allowed: str, **options: Any) -> Any:
+    """Return a field that only its type restricts.
+
+    :param text: Description for the settings reference.
+    :param allowed: Description of the accepted values.
+    :param options: Options of :func:`attrs.field`.
+    :returns: The field.
+    """
+    return setting(lambda _value: None, text, allowed, **options)
+
+
+def _check_address(value: str) -> str | None:
+    host, _colon, port = value.rpartition(':')
+    try:
+        ipaddress.ip_address(host.removeprefix('[').removesuffix(']'))
+    except ValueError:
+        return f'{value!r} is not an ip:port address'
+    if port.isdecimal() and 0 < int(port) < 65536:
+        return None
+    return f'{value!r} has no port from 1 to 65535'
--- /dev/null
+++ b/monsoonproxy/membership.py
@@ -0,0 +1,300 @@
+"""Which entry hosts are usable.
+
+The platform's list lags. What this daemon experiences itself takes precedence:
+a goodbye or a failed send excludes a listed host, and a message includes a host
+that is not listed yet.
+"""
+
+from collections.abc import Iterable
+from typing import TypeAlias
+
+import attrs
+
+from monsoonproxy.clock import Millis
+from monsoonproxy.declarations import MembershipRules
+from monsoonproxy.models import Host, HostState
+
+#: Limit on remembered hosts, so that forged addresses can't fill the memory.
+#: The design scale is 2,400 hosts, all of which may be replaced at once.
+RECORD_LIMIT = 8192
+
+
+@attrs.frozen
+class HostsListed:
+    """The platform's host list was read."""
+
+    hosts: tuple[Host, ...]
+
+
+@attrs.frozen
+class HostsReported:
+    """A peer told which hosts it considers usable.
+
+    They count as listed until the platform's list is read the next time.
+    """
+
+    hosts: tuple[Host, ...]
+
+
+@attrs.frozen
+class HeardFrom:
+    """A message of a host arrived.
+
+    :param address: The host.
+    :param availability_zone: Its zone, if the message tells.
+    :param announced: Whether the message is an announcement. A daemon sends
+        none after its goodbye, so an announcement after a goodbye comes from
+        a restarted daemon.
+    """
+
+    address: str
+    availability_zone: str = ''
+    announced: bool = False
+
+
+@attrs.frozen
+class SendFailed:
+    """A send or ping failed.
+
+    :param address: The host.
+    :param sent_at: When the message was sent that is unanswered so far; the
+        host then fails ``peer_timeout`` later if nothing is heard from it.
+        ``None`` if the failure is certain, such as a refused connection.
+    """
+
+    address: str
+    sent_at: Millis | None = None
+
+
+@attrs.frozen
+class SaidGoodbye:
+    """A host shuts down."""
+
+    address: str
+
+
+@attrs.frozen
+class Tick:
+    """Time has passed."""
+
+
+Event: TypeAlias = (
+    HostsListed | HostsReported | HeardFrom | SendFailed | SaidGoodbye | Tick
+)
+
+
+@attrs.define
+class _Record:
+    host: Host
+    listed: bool = False
+    reported: bool = False
+    heard_at: Millis | None = None
+    fails_at: Millis | None = None
+    left_at: Millis | None = None
+    probed_at: Millis | None = None
+
+    @property
+    def is_known(self) -> bool:
+        known = self.listed or self.reported
+        return known or self.heard_at is not None or self.left_at is not None
+
+
+class Membership:
+    """Keeps the usable hosts.
+
+    :param own: This daemon's host; it is usable until it says goodbye.
+    :param rules: Times.
+    """
+
+    def __init__(self, own: Host, rules: MembershipRules) -> None:
+        self._own = own
+        self._rules = rules
+        self._records: dict[str, _Record] = {own.address: _Record(own)}
+        self._usable: tuple[Host, ...] = (own,)
+        self._recheck_at: Millis | None = None
+        self._changed = False
+
+    @property
+    def changed(self) -> bool:
+        """Return whether the usable hosts changed since they were last asked.
+
+        Passing time is taken into account by :class:`Tick`.
+
+        :returns: Whether :meth:`usable` will return something new.
+        """
+        return self._changed
+
+    def handle(self, event: Event, now: Millis) -> None:
+        """Take an event into account.
+
+        :param event: What happened.
+        :param now: When.
+        """
+        match event:
+            case HostsListed(hosts):
+                self._list(hosts)
+            case HostsReported(hosts):
+                self._report(hosts)
+            case HeardFrom(address):
+                if not self._hear(address, event, now):
+                    return
+            case SendFailed(address, sent_at):
+                self._fail(address, sent_at, now)
+            case SaidGoodbye(address):
+                self._leave(address, now)
+        self._refresh(now)
+
+    def usable(self, now: Millis) -> tuple[Host, ...]:
+        """Return the hosts that may get new requests.
+
+        :param now: The time.
+        :returns: The hosts in order of address.
+        """
+        if self._recheck_at is not None and now >= self._recheck_at:
+            self._refresh(now)
+        self._changed = False
+        return self._usable
+
+    def probes(self, now: Millis) -> tuple[str, ...]:
+        """Return the failed hosts to ping now.
+
+        :param now: The time.
+        :returns: Addresses; each is returned once per ``peer_retry``.
+        """
+        due = []
+        for address, record in self._records.items():
+            failed = _reached(record.fails_at, now) and not record.left_at
+            last = record.probed_at or record.fails_at
+            if failed and _reached(last, now - self._rules.peer_retry):
+                record.probed_at = now
+                due.append(address)
+        return tuple(due)
+
+    def heard(self, now: Millis) -> tuple[Host, ...]:
+        """Return the usable hosts that this daemon heard from itself.
+
+        :param now: The time.
+        :returns: The hosts to name in announcements.
+        """
+        limit = now - self._rules.heard_lifetime
+        return tuple(
+            host
+            for host in self.usable(now)
+            if (self._records[host.address].heard_at or limit) > limit
+        )
+
+    def _list(self, hosts: tuple[Host, ...]) -> None:
+        if not hosts:
+            # This daemon runs, so an empty list is a fault of the platform.
+            return
+        for known in self._records.values():
+            known.listed = False
+            known.reported = False
+        for host in hosts:
+            record = self._record(host)
+            record.listed = True
+            if host.address != self._own.address:
+                record.host = host
+
+    def _report(self, hosts: Iterable[Host]) -> None:
+        for host in hosts:
+            self._record(host).reported = True
+
+    def _hear(self, address: str, event: HeardFrom, now: Millis) -> bool:
+        """Note a message; return whether the usable hosts may change."""
+        record = self._record(Host(address, event.availability_zone))
+        before = (record.heard_at, record.fails_at, record.left_at)
+        record.heard_at = now
+        record.fails_at = None
+        record.probed_at = None
+        if event.announced:
+            record.left_at = None
+        if event.availability_zone and not record.listed:
+            zone = event.availability_zone
+            record.host = attrs.evolve(record.host, availability_zone=zone)
+        return not record.listed or before[1:] != (None, None)
+
+    def _fail(self, address: str, sent_at: Millis | None, now: Millis) -> None:
+        record = self._records.get(address)
+        if record is None or address == self._own.address:
+            return
+        fails_at = now
+        if sent_at is not None:
+            if record.heard_at is not None and record.heard_at >= sent_at:
+                return
+            fails_at = Millis(sent_at + self._rules.peer_timeout)
+        if record.fails_at is None or fails_at < record.fails_at:
+            record.fails_at = fails_at
+
+    def _leave(self, address: str, now: Millis) -> None:
+        # An unknown host is remembered too: it may be listed later.
+        self._record(Host(address, '')).left_at = now
+
+    def _record(self, host: Host) -> _Record:
+        record = self._records.get(host.address)
+        if record is None:
+            while len(self._records) >= RECORD_LIMIT:
+                self._evict()
+            record = _Record(host)
+            self._records[host.address] = record
+        return record
+
+    def _evict(self) -> None:
+        """Forget the oldest record, unlisted ones first."""
+        candidates = [
+            address
+            for address, record in self._records.items()
+            if not record.listed and address != self._own.address
+        ]
+        address = candidates[0] if candidates else list(self._records)[1]
+        self._records.pop(address)
+
+    def _refresh(self, now: Millis) -> None:
+        self._expire(now)
+        found = [
+            record.host
+            for record in self._records.values()
+            if self._is_usable(record, now)
+        ]
+        usable = tuple(sorted(found, key=lambda host: host.address))
+        if usable != self._usable:
+            self._usable = usable
+            self._changed = True
+        self._recheck_at = min(self._next_times(now), default=None)
+
+    def _is_usable(self, record: _Record, now: Millis) -> bool:
+        if record.left_at is not None:
+            return False
+        if record.host.address == self._own.address:
+            return True
+        known = record.listed or record.reported or record.heard_at is not None
+        live = record.host.state is HostState.LIVE
+        return known and live and not _reached(record.fails_at, now)
+
+    def _expire(self, now: Millis) -> None:
+        rules = self._rules
+        for address, record in list(self._records.items()):
+            if _reached(record.heard_at, now - rules.heard_lifetime):
+                record.heard_at = None
+            # A restarted daemon may never announce itself to this one. If it
+            # is still listed after the longest lag of the list, it is tried.
+            if _reached(record.left_at, now - rules.list_lag):
+                record.left_at = None
+            if not record.is_known and address != self._own.address:
+                self._records.pop(address)
+
+    def _next_times(self, now: Millis) -> list[Millis]:
+        rules = self._rules
+        times = []
+        for record in self._records.values():
+            if record.fails_at is not None and record.fails_at > now:
+                times.append(record.fails_at)
+            if record.heard_at is not None and not record.listed:
+                times.append(Millis(record.heard_at + rules.heard_lifetime))
+            if record.left_at is not None:
+                times.append(Millis(record.left_at + rules.list_lag))
+        return times
+
+
+def _reached(moment: Millis | None, now: int) -> bool:
+    return moment is not None and moment <= now
--- /dev/null
+++ b/monsoonproxy/sources.py
@@ -0,0 +1,288 @@
+"""TOML files whose values remember where they were written."""
+
+import pathlib
+import re
+import tomllib
+from collections.abc import Iterator
+from typing import Any, TypeAlias
+
+import attrs
+
+from monsoonproxy.exceptions import MonsoonError
+
+Path: TypeAlias = tuple[str | int, ...]
+
+_KEY_PART = re.compile(r'\s*(?:"([^"]*)"|\'([^\']*)\'|([\w-]+))\s*(?:\.|$)')
+_HEADER = re.compile(r'\s*(\[\[?)([^\]]+)\]\]?\s*(?:#.*)?$')
+_ASSIGNMENT = re.compile(r'\s*((?:"[^"]*"|\'[^\']*\'|[\w.\s-])+?)\s*=(.*)$')
+_TOKEN = re.compile(
+    r'"""(?:\\.|[^\\])*?"""|\'\'\'.*?\'\'\''
+    r'|"(?:\\.|[^"\\\n])*"|\'[^\'\n]*\'|#[^\n]*',
+    re.DOTALL,
+)
+_TOML_LINE = re.compile(r'line (\d+)')
+_REMOVE = 'remove'
+
+
+@attrs.frozen
+class Location:
+    """A line of a file."""
+
+    file: str
+    line: int
+
+
+@attrs.frozen
+class Problem:
+    """Something wrong in a file.
+
+    :param location: Where it is.
+    :param key: Dotted key.
+    :param text: What is wrong.
+    """
+
+    location: Location
+    key: str
+    text: str
+
+    def __str__(self) -> str:
+        """Return the problem as one line.
+
+        :returns: File, line, key and text.
+        """
+        place = self.location
+        return f'{place.file}:{place.line}: {self.key}: {self.text}'
+
+
+class SourceError(MonsoonError):
+    """A file has problems.
+
+    :param problems: All problems that were found.
+    """
+
+    def __init__(self, problems: tuple[Problem, ...]) -> None:
+        super().__init__('\n'.join(map(str, problems)))
+        self.problems = problems
+
+
+@attrs.frozen
+class Node:
+    """A value with its location.
+
+    :param content: A scalar, a list of nodes or a dictionary of nodes.
+    :param location: Where the value was written.
+    """
+
+    content: Any
+    location: Location
+
+
+def read_source(path: str) -> Node:
+    """Read a TOML file.
+
+    :param path: The file.
+    :returns: The root table.
+    :raises SourceError: If the file can't be read or is not TOML.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SourceError((Problem(Location(path, 0), '-', str(exc)),)) from exc
+    return parse_source(text, path)
+
+
+def parse_source(text: str, file: str) -> Node:
+    """Parse TOML text.
+
+    :param text: The text.
+    :param file: Name of the file for error messages.
+    :returns: The root table.
+    :raises SourceError: If the text is not TOML.
+    """
+    try:
+        table = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as exc:
+        found = _TOML_LINE.search(str(exc))
+        line = int(found[1]) if found else text.count('\n') + 1
+        problem = Problem(Location(file, line), '-', str(exc))
+        raise SourceError((problem,)) from exc
+    return _annotate(table, (), scan_lines(text), Location(file, 1))
+
+
+def scan_lines(text: str) -> dict[Path, int]:
+    """Find the line of each table and key.
+
+    A value that spans several lines is found at its first line.
+
+    :param text: Valid TOML text.
+    :returns: The line by path.
+    """
+    lines: dict[Path, int] = {}
+    arrays: dict[Path, int] = {}
+    table: Path = ()
+    for line, statement in _statements(text):
+        header = _HEADER.match(statement)
+        assignment = _ASSIGNMENT.match(statement)
+        if header:
+            is_array = header[1] == '[['
+            table = _enter(_split_key(header[2]), arrays, is_array=is_array)
+            lines.setdefault(table, line)
+        elif assignment:
+            lines[table + _split_key(assignment[1])] = line
+    return lines
+
+
+def _statements(text: str) -> Iterator[tuple[int, str]]:
+    pending = ''
+    start = 0
+    for line, content in enumerate(text.splitlines(), 1):
+        start = start if pending else line
+        pending = f'{pending}{content}\n'
+        if _is_complete(pending):
+            yield start, pending.split('\n', 1)[0]
+            pending = ''
+
+
+def _is_complete(statement: str) -> bool:
+    if _HEADER.match(statement):
+        return True
+    bare = _TOKEN.sub('', statement)
+    if '"""' in bare or "'''" in bare:
+        return False
+    opened = bare.count('[') + bare.count('{')
+    return opened <= bare.count(']') + bare.count('}')
+
+
+def _split_key(text: str) -> Path:
+    parts = _KEY_PART.findall(text.strip())
+    return tuple(''.join(part) for part in parts)
+
+
+def _enter(key: Path, arrays: dict[Path, int], *, is_array: bool) -> Path:
+    path: Path = ()
+    for part in key[:-1]:
+        path += (part,)
+        index = arrays.get(path)
+        path += () if index is None else (index,)
+    path += key[-1:]
+    if is_array:
+        arrays[path] = arrays.get(path, -1) + 1
+        path += (arrays[path],)
+    return path
+
+
+def _annotate(
+    content: Any, path: Path, lines: dict[Path, int], outer: Location
+) -> Node:
+    location = Location(outer.file, lines.get(path, outer.line))
+    if isinstance(content, dict):
+        table = {
+            key: _annotate(value, (*path, key), lines, location)
+            for key, value in content.items()
+        }
+        return Node(table, location)
+    if isinstance(content, list):
+        nodes = [
+            _annotate(value, (*path, index), lines, location)
+            for index, value in enumerate(content)
+        ]
+        return Node(nodes, location)
+    return Node(content, location)
+
+
+def merge(base: Node, overlay: Node) -> Node:
+    """Lay an overlay over a base.
+
+    Tables merge by key and lists of tables by their key ``name``; other values
+    replace. A table of the overlay with ``remove = true`` removes its
+    counterpart.
+
+    :param base: The base.
+    :param overlay: Its changes.
+    :returns: The merged node.
+    :raises SourceError: If the overlay removes what the base doesn't have.
+    """
+    if isinstance(base.content, dict) and isinstance(overlay.content, dict):
+        merged = _merge_tables(base.content, overlay.content)
+        return Node(merged, base.location)
+    named_base = _by_name(base)
+    named_overlay = _by_name(overlay)
+    if named_base is None or named_overlay is None:
+        return overlay
+    merged = _merge_tables(named_base, named_overlay)
+    return Node(list(merged.values()), overlay.location)
+
+
+def _by_name(node: Node) -> dict[str, Node] | None:
+    if not isinstance(node.content, list):
+        return None
+    named = {}
+    for item in node.content:
+        name = _name_of(item)
+        if name is None or name in named:
+            return None
+        named[name] = item
+    return named
+
+
+def _name_of(item: Node) -> str | None:
+    if not _is_table(item) or 'name' not in item.content:
+        return None
+    return item.content['name'].content
+
+
+def _merge_tables(
+    base: dict[str, Node], overlay: dict[str, Node]
+) -> dict[str, Node]:
+    merged = dict(base)
+    for key, node in overlay.items():
+        if _is_table(node) and _REMOVE in node.content:
+            _remove(merged, key, node)
+        else:
+            known = merged.get(key)
+            merged[key] = node if known is None else merge(known, node)
+    return merged
+
+
+def _remove(merged: dict[str, Node], key: str, node: Node) -> None:
+    mark = node.content[_REMOVE]
+    if mark.content is not True:
+        text = 'the only accepted value is true'
+        raise SourceError((Problem(mark.location, f'{key}.{_REMOVE}', text),))
+    if merged.pop(key, None) is None:
+        text = 'nothing of this name to remove'
+        raise SourceError((Problem(mark.location, f'{key}.{_REMOVE}', text),))
+
+
+def _is_table(node: Node) -> bool:
+    return isinstance(node.content, dict)
+
+
+def plain(node: Node) -> Any:
+    """Return a value without locations.
+
+    :param node: The value with locations.
+    :returns: Plain dictionaries, lists and scalars.
+    """
+    if isinstance(node.content, dict):
+        return {key: plain(value) for key, value in node.content.items()}
+    if isinstance(node.content, list):
+        return [plain(value) for value in node.content]
+    return node.content
+
+
+def problem_at(node: Node, path: Path, text: str) -> Problem:
+    """Describe a problem at a path.
+
+    :param node: The root table.
+    :param path: The path; its deepest known part gives the location.
+    :param text: What is wrong.
+    :returns: The problem.
+    """
+    here = node
+    for part in path:
+        try:
+            here = here.content[part]
+        except (KeyError, IndexError, TypeError):
+            break
+    return Problem(here.location, '.'.join(map(str, path)) or '-', text)
