--- a/monsoonproxy/membership.py
+++ b/monsoonproxy/membership.py
@@ -138,6 +138,9 @@
             case HeardFrom(address):
                 if not self._hear(address, event, now):
                     return
+            case Tick():
+                if not _reached(self._recheck_at, now):
+                    return
             case SendFailed(address, sent_at):
                 self._fail(address, sent_at, now)
             case SaidGoodbye(address):
@@ -150,7 +153,7 @@
         :param now: The time.
         :returns: The hosts in order of address.
         """
-        if self._recheck_at is not None and now >= self._recheck_at:
+        if _reached(self._recheck_at, now):
             self._refresh(now)
         self._changed = False
         return self._usable
@@ -203,16 +206,21 @@
     def _hear(self, address: str, event: HeardFrom, now: Millis) -> bool:
         """Note a message; return whether the usable hosts may change."""
         record = self._record(Host(address, event.availability_zone))
-        before = (record.heard_at, record.fails_at, record.left_at)
+        was_known = record.listed or record.heard_at is not None
+        was_out = record.fails_at is not None or record.left_at is not None
+        zone = event.availability_zone
+        is_news = not record.listed and zone not in {
+            '',
+            record.host.availability_zone,
+        }
         record.heard_at = now
         record.fails_at = None
         record.probed_at = None
         if event.announced:
             record.left_at = None
-        if event.availability_zone and not record.listed:
-            zone = event.availability_zone
+        if is_news:
             record.host = attrs.evolve(record.host, availability_zone=zone)
-        return not record.listed or before[1:] != (None, None)
+        return was_out or is_news or not was_known
 
     def _fail(self, address: str, sent_at: Millis | None, now: Millis) -> None:
         record = self._records.get(address)
--- a/monsoonproxy/spread.py
+++ b/monsoonproxy/spread.py
@@ -39,6 +39,13 @@
     peer: str
 
 
+@attrs.frozen
+class ChangeNotified:
+    """``monsoonctl`` announced a version, which can be read from the store."""
+
+    version: int
+
+
 @attrs.frozen
 class FetchRequested:
     """A peer asks for the document if it is newer than ``version``."""
@@ -86,6 +93,7 @@
 
 Event: TypeAlias = (
     VersionSeen
+    | ChangeNotified
     | FetchRequested
     | DocumentReceived
     | StoreRead
@@ -163,6 +171,7 @@
         self._packed = b''
         self._digests: dict[int, str] = {}
         self._sources: dict[str, int] = {}
+        self._asked = ''
         self._fetch_until: Millis | None = None
         self._is_reader = False
         self._read_at: Millis | None = None
@@ -170,6 +179,17 @@
         self._compare_at: Millis | None = None
         self._sent = 0
 
+    @property
+    def due_at(self) -> Millis:
+        """Return when the next :class:`Tick` has an effect.
+
+        :returns: The time; 0 if at once.
+        """
+        if self._compare_at is None:
+            return Millis(0)
+        times = (self._compare_at, self._read_at, self._fetch_until)
+        return min(moment for moment in times if moment is not None)
+
     def handle(self, event: Event, now: Millis) -> list[Command]:
         """Take an event into account.
 
@@ -187,27 +207,38 @@
                 yield from self._send(version, peer)
             case DocumentReceived(version, packed):
                 yield from self._receive(version, packed)
+            case Tick():
+                yield from self._tick(now)
+            case _:
+                yield from self._dispatch_local(event, now)
+
+    def _dispatch_local(self, event: Event, now: Millis) -> Iterator[Command]:
+        match event:
+            case ChangeNotified(version) if version > self.version:
+                yield ReadStore()
             case StoreRead(version, document):
                 yield from self._take(version, document)
-            case StoreFailed():
+            case StoreFailed() if self.version == 0:
                 self._back_off(now)
             case PeersChanged(hosts):
                 self._set_hosts(hosts, now)
-            case Tick():
-                yield from self._tick(now)
 
     def _see(self, version: int, peer: str, now: Millis) -> Iterator[Command]:
         if version < self.version:
             yield SendAnnounce(peer, self.version)
         elif version > self.version:
-            self._sources.pop(peer, None)
-            self._sources[peer] = version
-            if len(self._sources) > _SOURCE_LIMIT:
-                self._sources.pop(next(iter(self._sources)))
+            self._note_source(version, peer)
             if self._fetch_until is None:
                 yield self._fetch(peer, now)
 
+    def _note_source(self, version: int, peer: str) -> None:
+        self._sources.pop(peer, None)
+        self._sources[peer] = version
+        if len(self._sources) > _SOURCE_LIMIT:
+            self._sources.pop(next(iter(self._sources)))
+
     def _fetch(self, peer: str, now: Millis) -> FetchFrom:
+        self._asked = peer
         self._fetch_until = Millis(now + self._rules.fetch_timeout)
         return FetchFrom(peer, self.version)
 
@@ -217,28 +248,19 @@
             yield SendDocument(peer, self.version, self._packed)
 
     def _receive(self, version: int, packed: bytes) -> Iterator[Command]:
-        if version > self.version:
-            try:
-                document = _unpack(packed)
-            except zlib.error:
-                self.refused += 1
-                return
-            yield from self._take(version, document)
-        elif version in self._digests:
-            self._check_again(version, packed)
-
-    def _check_again(self, version: int, packed: bytes) -> None:
-        """Count a second document of a known version that differs."""
+        if version < self.version and version not in self._digests:
+            return
         try:
-            header = read_header(_unpack(packed))
-        except (zlib.error, ConfigurationError):
+            document = _unpack(packed)
+        except zlib.error:
             self.refused += 1
             return
-        if header.digest != self._digests[version]:
-            self.refused += 1
+        yield from self._take(version, document, packed)
 
-    def _take(self, version: int, document: bytes | None) -> Iterator[Command]:
-        if document is None or version <= self.version:
+    def _take(
+        self, version: int, document: bytes | None, packed: bytes = b''
+    ) -> Iterator[Command]:
+        if document is None:
             return
         try:
             header = read_header(document)
@@ -248,15 +270,13 @@
         known = self._digests.get(version, header.digest)
         if header.version != version or header.digest != known:
             self.refused += 1
-            return
-        yield from self._adopt(version, header.digest, document)
+        elif version > self.version:
+            self._packed = packed or zlib.compress(document)
+            self._digests[version] = header.digest
+            yield from self._adopt(version, document)
 
-    def _adopt(
-        self, version: int, digest: str, document: bytes
-    ) -> Iterator[Command]:
+    def _adopt(self, version: int, document: bytes) -> Iterator[Command]:
         self.version = version
-        self._packed = zlib.compress(document)
-        self._digests[version] = digest
         if len(self._digests) > _DIGEST_LIMIT:
             self._digests.pop(next(iter(self._digests)))
         self._fetch_until = None
@@ -282,56 +302,57 @@
         self._is_reader = any(host.address == self._own for host in readers)
         if self._is_reader and not was_reader:
             self._read_at = now
+        elif self._is_reader != was_reader and self.version:
+            self._read_at = None
 
     def _tick(self, now: Millis) -> Iterator[Command]:
-        yield from self._tick_compare(now)
-        yield from self._tick_fetch(now)
-        yield from self._tick_store(now)
-
-    def _tick_compare(self, now: Millis) -> Iterator[Command]:
-        interval = self._rules.compare_interval
         if self._compare_at is None:
-            # A random phase keeps daemons that start together apart.
-            self._compare_at = Millis(now + self._rng.randrange(interval))
+            # Random phases keep daemons that start together apart.
+            phase = self._rng.randrange(self._rules.compare_interval)
+            self._compare_at = Millis(now + phase)
+            self._read_at = self._read_at or self._later(now)
         if now >= self._compare_at:
-            self._compare_at = Millis(now + interval)
+            self._compare_at = Millis(now + self._rules.compare_interval)
             self._sent = 0
             for peer in self._some_peers(1):
                 yield SendAnnounce(peer, self.version)
+        yield from self._tick_fetch(now)
+        if _reached(self._read_at, now):
+            yield from self._tick_store(now)
 
     def _tick_fetch(self, now: Millis) -> Iterator[Command]:
         if self._fetch_until is None or now < self._fetch_until:
             return
         self._fetch_until = None
-        if self._sources:
-            peer = next(iter(self._sources))
-            # The next attempt asks another peer, if there is one.
-            version = self._sources.pop(peer)
+        if len(self._sources) > 1:
+            self._sources.pop(self._asked, None)
+        for peer in list(self._sources)[:1]:
             yield self._fetch(peer, now)
-            if not self._sources:
-                self._sources[peer] = version
 
     def _tick_store(self, now: Millis) -> Iterator[Command]:
-        if self._read_at is None:
-            self._read_at = Millis(now + self._jittered(self._read_wait))
-        if now < self._read_at:
-            return
         if self._is_reader:
             self._read_at = Millis(now + self._rules.read_interval)
             yield ReadStore()
-        elif self.version == 0 and not self._sources:
+        elif self.version == 0:
             self._back_off(now)
-            yield ReadStore()
+            if not self._sources:
+                yield ReadStore()
+        else:
+            self._read_at = None
 
     def _back_off(self, now: Millis) -> None:
-        if self._is_reader:
-            return
-        limit = self._rules.backoff_limit
-        self._read_wait = min(self._read_wait * 2, limit)
-        self._read_at = Millis(now + self._jittered(self._read_wait))
+        if not self._is_reader:
+            limit = self._rules.backoff_limit
+            self._read_wait = min(self._read_wait * 2, limit)
+            self._read_at = self._later(now)
+
+    def _later(self, now: Millis) -> Millis:
+        wait = self._read_wait
+        return Millis(now + wait // 2 + self._rng.randrange(wait))
+
 
-    def _jittered(self, duration: int) -> int:
-        return duration // 2 + self._rng.randrange(duration)
+def _reached(moment: Millis | None, now: Millis) -> bool:
+    return moment is not None and moment <= now
 
 
 def _unpack(packed: bytes) -> bytes:
