Compare versions with a random peer twice a second

Cause: the rounds of announcements leave about 1% of the daemons out, and each of these waits for comparisons, of which half fail while the regions are separated. One comparison a second leaves a tail of several seconds.

--- a/monsoonproxy/declarations.py
+++ b/monsoonproxy/declarations.py
@@ -188,7 +188,7 @@
         100, 60_000, 'Time between their reads, ms.', default=500
     )
     compare_interval: int = fields.number(
-        100, 60_000, 'Time between comparisons with a peer, ms.', default=1000
+        100, 60_000, 'Time between comparisons with a peer, ms.', default=500
     )
     fan_out: int = fields.number(
         1, 16, 'Peers told of a new version at once.', default=3
