--- a/monsoonproxy/membership.py
+++ b/monsoonproxy/membership.py
@@ -144,7 +144,8 @@
             case SendFailed(address, sent_at):
                 self._fail(address, sent_at, now)
             case SaidGoodbye(address):
-                self._leave(address, now)
+                if not self._leave(address, now):
+                    return
         self._refresh(now)
 
     def usable(self, now: Millis) -> tuple[Host, ...]:
@@ -234,9 +235,12 @@
         if record.fails_at is None or fails_at < record.fails_at:
             record.fails_at = fails_at
 
-    def _leave(self, address: str, now: Millis) -> None:
+    def _leave(self, address: str, now: Millis) -> bool:
+        """Note a goodbye; return whether the usable hosts may change."""
+        was_known = address in self._records
         # An unknown host is remembered too: it may be listed later.
         self._record(Host(address, '')).left_at = now
+        return was_known
 
     def _record(self, host: Host) -> _Record:
         record = self._records.get(host.address)
