--- /dev/null
+++ b/monsoonproxy/cli.py
@@ -0,0 +1,388 @@
+"""The operators' tool ``monsoonctl``."""
+
+import asyncio
+import getpass
+import importlib
+import json
+import sys
+from collections.abc import Callable
+from typing import Annotated, Any, Protocol, TypeAlias
+
+import attrs
+import cappa
+
+from monsoonproxy import actions
+from monsoonproxy.commands import Platform
+from monsoonproxy.exceptions import (
+    ConflictError,
+    MonsoonError,
+    PeerError,
+    PlatformError,
+)
+from monsoonproxy.sources import SourceError
+
+_CODES_HELP = (
+    'Exit codes: 0 done, 1 refused by a check, 2 wrong usage, 3 another'
+    " operator's change came first, 4 the platform can't be reached, 5 a"
+    " daemon can't be reached."
+)
+_ENVIRONMENT = 'MONSOONPROXY_PLATFORM'
+
+Opener: TypeAlias = Callable[[str, str], Platform]
+_ExitCode: TypeAlias = tuple[type[MonsoonError], int]
+
+#: Exit codes by error, the most specific first; 0 is success, 2 wrong usage.
+EXIT_CODES: tuple[_ExitCode, ...] = (
+    (ConflictError, 3),
+    (PlatformError, 4),
+    (PeerError, 5),
+    (MonsoonError, 1),
+)
+
+Base = Annotated[str, cappa.Arg(help='Base file.')]
+Overlay = Annotated[
+    str | None, cappa.Arg(long=True, help="The site's overlay file.")
+]
+Address = Annotated[str, cappa.Arg(help='ip:port of the peer socket.')]
+
+
+class Command(Protocol):
+    """A subcommand."""
+
+    async def run(self, platform: Callable[[], Platform]) -> actions.Answer:
+        """Carry out the command."""
+
+
+def _example(text: str) -> str:
+    return f'Example: monsoonctl {text}'
+
+
+@cappa.command(
+    help='Check files without changing anything.',
+    description=_example('check base.toml --overlay site.toml'),
+)
+@attrs.frozen
+class Check:
+    """Arguments of ``check``."""
+
+    base: Base
+    overlay: Overlay = None
+
+    async def run(self, _platform: Callable[[], Platform]) -> actions.Answer:
+        """Carry out the command."""
+        return actions.check(self.base, self.overlay)
+
+
+@cappa.command(
+    help='Compare files with the accepted configuration.',
+    description=_example('diff base.toml --overlay site.toml'),
+)
+@attrs.frozen
+class Diff:
+    """Arguments of ``diff``."""
+
+    base: Base
+    overlay: Overlay = None
+
+    async def run(self, platform: Callable[[], Platform]) -> actions.Answer:
+        """Carry out the command."""
+        return await actions.compare(platform, self.base, self.overlay)
+
+
+@cappa.command(
+    help='Make files the accepted configuration.',
+    description=_example(
+        'apply base.toml --overlay site.toml --comment "add member c"'
+    ),
+)
+@attrs.frozen
+class Apply:
+    """Arguments of ``apply``."""
+
+    base: Base
+    overlay: Overlay = None
+    comment: Annotated[str, cappa.Arg(long=True, help='Why.')] = ''
+    operator: Annotated[
+        str, cappa.Arg(long=True, help='Who; the login name by default.')
+    ] = attrs.field(factory=getpass.getuser)
+    expect: Annotated[
+        int | None,
+        cappa.Arg(long=True, help='Refuse unless this version is accepted.'),
+    ] = None
+
+    async def run(self, platform: Callable[[], Platform]) -> actions.Answer:
+        """Carry out the command."""
+        wanted = actions.load_checked(self.base, self.overlay)
+        change = actions.make_change(self.operator, self.comment)
+        return await actions.apply(platform(), wanted, change, self.expect)
+
+
+@cappa.command(
+    help='Show the accepted configuration without secrets.',
+    description=_example('show --version 12'),
+)
+@attrs.frozen
+class Show:
+    """Arguments of ``show``."""
+
+    version: Annotated[
+        int | None, cappa.Arg(long=True, help='An earlier version.')
+    ] = None
+
+    async def run(self, platform: Callable[[], Platform]) -> actions.Answer:
+        """Carry out the command."""
+        return await actions.show(platform(), self.version)
+
+
+@cappa.command(
+    help='List accepted versions.',
+    description=_example('history --limit 5'),
+)
+@attrs.frozen
+class History:
+    """Arguments of ``history``."""
+
+    limit: Annotated[int, cappa.Arg(long=True, help='How many.')] = 20
+
+    async def run(self, platform: Callable[[], Platform]) -> actions.Answer:
+        """Carry out the command."""
+        return await actions.history(platform(), self.limit)
+
+
+@cappa.command(
+    help='Show the status of daemons.',
+    description=_example('status 10.0.0.1:7000'),
+)
+@attrs.frozen
+class Status:
+    """Arguments of ``status``."""
+
+    addresses: Annotated[
+        list[str], cappa.Arg(help='Daemons; all listed hosts by default.')
+    ] = attrs.field(factory=list)
+
+    async def run(self, platform: Callable[[], Platform]) -> actions.Answer:
+        """Carry out the command."""
+        return await actions.status(platform, self.addresses)
+
+
+@cappa.command(
+    help='Ask a daemon to shut down without interrupting requests.',
+    description=_example('drain 10.0.0.1:7000'),
+)
+@attrs.frozen
+class Drain:
+    """Arguments of ``drain``."""
+
+    address: Address
+
+    async def run(self, _platform: Callable[[], Platform]) -> actions.Answer:
+        """Carry out the command."""
+        return await actions.drain(self.address)
+
+
+@cappa.command(
+    name='burn',
+    help='Show how fast services use up their error budgets.',
+    description=_example('report burn 10.0.0.1:7000 --plot burn.png'),
+)
+@attrs.frozen
+class ReportBurn:
+    """Arguments of ``report burn``."""
+
+    addresses: Annotated[
+        list[str], cappa.Arg(help='Daemons; all listed hosts by default.')
+    ] = attrs.field(factory=list)
+    counts: Annotated[
+        str | None, cappa.Arg(long=True, help='Read counters from a file.')
+    ] = None
+    plot: Annotated[
+        str | None, cappa.Arg(long=True, help='Draw an image file.')
+    ] = None
+
+    async def run(self, platform: Callable[[], Platform]) -> actions.Answer:
+        """Carry out the command."""
+        return await actions.report_burn(
+            platform, self.addresses, self.counts, self.plot
+        )
+
+
+@cappa.command(
+    name='new',
+    help='Make a key file for session tokens.',
+    description=_example('keys new /etc/monsoonproxy/token-keys.json'),
+)
+@attrs.frozen
+class KeysNew:
+    """Arguments of ``keys new``."""
+
+    file: str
+
+    async def run(self, _platform: Callable[[], Platform]) -> actions.Answer:
+        """Carry out the command."""
+        return actions.keys_new(self.file)
+
+
+@cappa.command(
+    name='rotate',
+    help='Let the next key of a file sign.',
+    description=_example('keys rotate /etc/monsoonproxy/token-keys.json'),
+)
+@attrs.frozen
+class KeysRotate:
+    """Arguments of ``keys rotate``."""
+
+    file: str
+
+    async def run(self, _platform: Callable[[], Platform]) -> actions.Answer:
+        """Carry out the command."""
+        return actions.keys_rotate(self.file)
+
+
+@cappa.command(
+    name='show',
+    help='List the keys of a file without their secrets.',
+    description=_example('keys show /etc/monsoonproxy/token-keys.json'),
+)
+@attrs.frozen
+class KeysShow:
+    """Arguments of ``keys show``."""
+
+    file: str
+
+    async def run(self, _platform: Callable[[], Platform]) -> actions.Answer:
+        """Carry out the command."""
+        return actions.keys_show(self.file)
+
+
+@cappa.command(help='Reports from the counters of daemons.')
+@attrs.frozen
+class Report:
+    """Arguments of ``report``."""
+
+    command: cappa.Subcommands[ReportBurn]
+
+
+@cappa.command(help='Key files for session tokens.')
+@attrs.frozen
+class Keys:
+    """Arguments of ``keys``."""
+
+    command: cappa.Subcommands[KeysNew | KeysRotate | KeysShow]
+
+
+@cappa.command(name='monsoonctl', description=_CODES_HELP)
+@attrs.frozen
+class Monsoonctl:
+    """Arguments of all commands."""
+
+    command: cappa.Subcommands[
+        Check | Diff | Apply | Show | History | Status | Drain | Report | Keys
+    ]
+    json: Annotated[
+        bool, cappa.Arg(long=True, propagate=True, help='Print JSON.')
+    ] = False
+    platform_url: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            propagate=True,
+            default=cappa.Env(_ENVIRONMENT, default=''),
+            help=f"Base URL of the platform's service (or {_ENVIRONMENT}).",
+        ),
+    ] = ''
+    platform: Annotated[
+        str,
+        cappa.Arg(
+            long=True, propagate=True, help='Name of the platform adapter.'
+        ),
+    ] = 'http'
+
+
+def open_platform(name: str, url: str) -> Platform:
+    """Open the platform.
+
+    :param name: Name of its adapter.
+    :param url: Base URL of its service.
+    :returns: The platform.
+    :raises PlatformError: If no URL is given.
+    :raises MonsoonError: If there is no such adapter.
+    """
+    if not url:
+        raise PlatformError(
+            f'no platform: use --platform-url or {_ENVIRONMENT}'
+        )
+    # Adapters register themselves when their module is imported.
+    importlib.import_module('monsoonproxy.platforms')
+    adapters = importlib.import_module('monsoonproxy.adapters')
+    return adapters.platforms.get(name)(url)
+
+
+async def execute(arguments: Monsoonctl, opener: Opener) -> actions.Answer:
+    """Carry out a command.
+
+    :param arguments: The parsed command line.
+    :param opener: Opens the platform.
+    :returns: What to print; errors of the package are answers, too.
+    """
+    opened: list[Platform] = []
+
+    def platform() -> Platform:
+        if not opened:
+            opened.append(opener(arguments.platform, arguments.platform_url))
+        return opened[0]
+
+    command: Any = arguments.command
+    command = getattr(command, 'command', command)
+    try:
+        return await command.run(platform)
+    except MonsoonError as exc:
+        return _failure(exc)
+    finally:
+        for item in opened:
+            await _close(item)
+
+
+async def _close(platform: Platform) -> None:
+    close = getattr(platform, 'close', None)
+    if close is not None:
+        await close()
+
+
+def _failure(exc: MonsoonError) -> actions.Answer:
+    code = next(code for kind, code in EXIT_CODES if isinstance(exc, kind))
+    data: dict[str, Any] = {'error': str(exc), 'code': code}
+    if isinstance(exc.__cause__, SourceError):
+        data['problems'] = [
+            {
+                'file': problem.location.file,
+                'line': problem.location.line,
+                'key': problem.key,
+                'text': problem.text,
+            }
+            for problem in exc.__cause__.problems
+        ]
+    return actions.Answer([f'error: {exc}'], data, code, failed=True)
+
+
+def run(argv: list[str] | None, opener: Opener = open_platform) -> int:
+    """Run the tool.
+
+    :param argv: Arguments; those of the process by default.
+    :param opener: Opens the platform.
+    :returns: The exit code.
+    """
+    arguments = cappa.parse(Monsoonctl, argv=argv)
+    answer = asyncio.run(execute(arguments, opener))
+    if arguments.json:
+        print(json.dumps(answer.data, indent=1))
+        return answer.code
+    stream = sys.stderr if answer.failed else sys.stdout
+    for line in answer.lines:
+        print(line, file=stream)
+    return answer.code
+
+
+def main() -> None:
+    """Run the tool and exit."""
+    sys.exit(run(None))
--- a/monsoonproxy/configuration.py
+++ b/monsoonproxy/configuration.py
@@ -139,7 +139,7 @@
         :class:`~monsoonproxy.sources.SourceError` with all problems.
     """
     try:
-        return _build(_merged(base, overlay))
+        return _build(_merged(base, overlay), fencing)
     except sources.SourceError as exc:
         raise ConfigurationError(str(exc)) from exc
 
@@ -151,7 +151,9 @@
     return root
 
 
-def _build(root: sources.Node) -> Configuration:
+def _build(
+    root: sources.Node, fencing: Mapping[str, bool] | None
+) -> Configuration:
     root = _with_defaults(_with_names(root))
     reserved = [
         sources.problem_at(root, (key,), 'unknown key')
@@ -161,10 +163,8 @@
     if reserved:
         raise sources.SourceError(tuple(reserved))
     found = structures.structure(root, Configuration)
-    wrong = tuple(
-        sources.problem_at(root, path, text)
-        for path, text in contradictions(found)
-    )
+    texts = [*contradictions(found), *_adapter_problems(found, fencing)]
+    wrong = tuple(sources.problem_at(root, path, text) for path, text in texts)
     if wrong:
         raise sources.SourceError(wrong)
     return found
@@ -237,6 +237,20 @@
             yield ('services', index), f'unknown service {used!r}'
 
 
+def _adapter_problems(
+    found: Configuration, fencing: Mapping[str, bool] | None
+) -> Iterator[tuple[sources.Path, str]]:
+    if fencing is None:
+        return
+    for name, service in found.services.items():
+        path = ('services', name, 'database')
+        if service.database not in fencing:
+            known = ', '.join(sorted(fencing))
+            yield path, f'unknown adapter; known: {known}'
+        elif not fencing[service.database] and not service.accept_loss:
+            yield path, "can't refuse lower terms; needs accept_loss = true"
+
+
 def _service_contradictions(
     service: Service,
 ) -> Iterator[tuple[sources.Path, str]]:
@@ -285,6 +299,16 @@
     ]
 
 
+def show(found: Configuration) -> list[str]:
+    """Render a configuration for people.
+
+    :param found: The configuration.
+    :returns: Lines of the form ``key = value``, without password hashes.
+    """
+    values = dict(_flatten(found))
+    return [f'{key} = {_shown(key, values)}' for key in sorted(values)]
+
+
 def _difference(
     key: str, before: Mapping[str, Any], after: Mapping[str, Any]
 ) -> str:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -76,7 +76,7 @@
     assert _names(found, 1599) == ['1', '2', '4']
     assert _names(found, 1600) == ['1', '4']
     assert found.probes(Millis(1600)) == (refused,)
-    assert found.probes(Millis(2599)) == ()
+    assert not found.probes(Millis(2599))
     assert found.probes(Millis(2600)) == (silent, refused)
     found.handle(LIST, Millis(2700))
     assert _names(found, 2700) == ['1', '4']
