--- a/monsoonproxy/actions.py
+++ b/monsoonproxy/actions.py
@@ -275,7 +275,7 @@
     }
 
 
-def make_change(operator: str, comment: str) -> Change:
+def make_change(operator: str, comment: str) -> configuration.Change:
     """Describe a change made now.
 
     :param operator: Who makes it.
--- a/monsoonproxy/configuration.py
+++ b/monsoonproxy/configuration.py
@@ -129,11 +129,17 @@
     return DocumentHeader(body['version'], digest)
 
 
-def load(base: str, overlay: str | None = None) -> Configuration:
+def load(
+    base: str,
+    overlay: str | None = None,
+    fencing: Mapping[str, bool] | None = None,
+) -> Configuration:
     """Load a configuration from files.
 
-    :param base: sources.Path of the base file.
-    :param overlay: sources.Path of the site's overlay.
+    :param base: Path of the base file.
+    :param overlay: Path of the site's overlay.
+    :param fencing: Whether the known database adapters can refuse lower terms,
+        by name; ``None`` if the adapters are not to be checked.
     :returns: The configuration, with version 0.
     :raises ConfigurationError: If a file is wrong. The error's cause is a
         :class:`~monsoonproxy.sources.SourceError` with all problems.
--- a/monsoonproxy/reports.py
+++ b/monsoonproxy/reports.py
@@ -88,6 +88,8 @@
     :returns: The counters.
     :raises ReportError: If it is not such a list.
     """
+    if not isinstance(data, list):
+        raise ReportError('the counters are not a list')
     try:
         return structures.strict_converter.structure(data, list[Count])
     except Exception as exc:
--- a/monsoonproxy/sources.py
+++ b/monsoonproxy/sources.py
@@ -16,7 +16,7 @@
 _HEADER = re.compile(r'\s*(\[\[?)([^\]]+)\]\]?\s*(?:#.*)?$')
 _ASSIGNMENT = re.compile(r'\s*((?:"[^"]*"|\'[^\']*\'|[\w.\s-])+?)\s*=(.*)$')
 _TOKEN = re.compile(
-    r'"""(?:\\.|[^\\])*?"""|\'\'\'.*?\'\'\''
+    r'"""(?:\\.|[^\\])*?"""|\'\'\'.*?\'\'\'|(?P<open>"""|\'\'\')'
     r'|"(?:\\.|[^"\\\n])*"|\'[^\'\n]*\'|#[^\n]*',
     re.DOTALL,
 )
@@ -146,9 +146,9 @@
 def _is_complete(statement: str) -> bool:
     if _HEADER.match(statement):
         return True
-    bare = _TOKEN.sub('', statement)
-    if '"""' in bare or "'''" in bare:
+    if any(token['open'] for token in _TOKEN.finditer(statement)):
         return False
+    bare = _TOKEN.sub('', statement)
     opened = bare.count('[') + bare.count('{')
     return opened <= bare.count(']') + bare.count('}')
 
@@ -194,8 +194,8 @@
     """Lay an overlay over a base.
 
     Tables merge by key and lists of tables by their key ``name``; other values
-    replace. A table of the overlay with ``remove = true`` removes its
-    counterpart.
+    replace, and so does an empty list. A table of the overlay with
+    ``remove = true`` removes its counterpart.
 
     :param base: The base.
     :param overlay: Its changes.
@@ -214,7 +214,7 @@
 
 
 def _by_name(node: Node) -> dict[str, Node] | None:
-    if not isinstance(node.content, list):
+    if not isinstance(node.content, list) or not node.content:
         return None
     named = {}
     for item in node.content:
--- a/monsoonproxy/spread.py
+++ b/monsoonproxy/spread.py
@@ -336,7 +336,8 @@
             # Random phases keep daemons that start together apart.
             phase = self._rng.randrange(self._rules.compare_interval)
             self._compare_at = Millis(now + phase)
-            self._read_at = self._read_at or self._later(now)
+            if self._read_at is None:
+                self._read_at = self._later(now)
         if now >= self._compare_at:
             self._compare_at = Millis(now + self._rules.compare_interval)
             self._sent = 0
