--- a/monsoonproxy/cli.py
+++ b/monsoonproxy/cli.py
@@ -101,7 +101,8 @@
 
     base: Base
     overlay: Overlay = None
-    comment: Annotated[str, cappa.Arg(long=True, help='Why.')] = ''
+    # cappa takes an empty text as default for no default.
+    comment: Annotated[str | None, cappa.Arg(long=True, help='Why.')] = None
     operator: Annotated[
         str, cappa.Arg(long=True, help='Who; the login name by default.')
     ] = attrs.field(factory=getpass.getuser)
@@ -113,7 +114,7 @@
     async def run(self, platform: Callable[[], Platform]) -> actions.Answer:
         """Carry out the command."""
         wanted = actions.load_checked(self.base, self.overlay)
-        change = actions.make_change(self.operator, self.comment)
+        change = actions.make_change(self.operator, self.comment or '')
         return await actions.apply(platform(), wanted, change, self.expect)
 
 
--- a/monsoonproxy/inquiries.py
+++ b/monsoonproxy/inquiries.py
@@ -15,17 +15,16 @@
 _REQUEST = 1
 
 
-async def ask(address: str, topic: str, timeout: int = TIMEOUT) -> Any:
+async def ask(address: str, topic: str) -> Any:
     """Ask a daemon.
 
     :param address: ``ip:port`` of its peer socket.
     :param topic: ``status``, ``drain`` or ``burn``.
-    :param timeout: Time in ms to wait.
     :returns: What the daemon answered, from JSON.
     :raises PeerError: If there is no valid answer in time.
     """
     request = messages.StatusRequest(_REQUEST, topic)
-    frames = await _exchange(address, request, timeout)
+    frames = await _exchange(address, request, TIMEOUT)
     try:
         reply = messages.decode(frames[-1])
     except msgspec.DecodeError as exc:
