--- a/monsoonproxy/actions.py
+++ b/monsoonproxy/actions.py
@@ -9,11 +9,11 @@
 
 import attrs
 
-from monsoonproxy import commands, configuration, inquiries, keys, reports
+from monsoonproxy import configuration, inquiries, keys, operations, reports
 from monsoonproxy.clock import Clock
 from monsoonproxy.exceptions import ConfigurationError, PeerError, PlatformError
 
-Opened: TypeAlias = Callable[[], commands.Platform]
+Opened: TypeAlias = Callable[[], operations.Platform]
 
 #: How many daemons are told of a new version; they tell the others.
 _NOTIFIED = 3
@@ -84,14 +84,14 @@
     :returns: The answer.
     """
     wanted = load_checked(base, overlay)
-    current = await commands.read_current(opened())
+    current = await operations.read_current(opened())
     lines = configuration.diff(current, wanted)
     data = {'version': current.version, 'changes': lines}
     return Answer(lines or ['no difference'], data)
 
 
 async def apply(
-    platform: commands.Platform,
+    platform: operations.Platform,
     wanted: configuration.Configuration,
     change: configuration.Change,
     expected: int | None,
@@ -104,7 +104,7 @@
     :param expected: Version that must be the accepted one, if given.
     :returns: The answer.
     """
-    applied = await commands.apply(platform, wanted, change, expected)
+    applied = await operations.apply(platform, wanted, change, expected)
     data = {
         **attrs.asdict(applied),
         'warnings': wanted.warnings(),
@@ -120,7 +120,7 @@
     return Answer(lines, data)
 
 
-async def _notify(platform: commands.Platform, version: int) -> list[str]:
+async def _notify(platform: operations.Platform, version: int) -> list[str]:
     # Daemons also read the store, so a failure only costs some time.
     try:
         hosts = await platform.hosts()
@@ -132,7 +132,7 @@
     return addresses
 
 
-async def show(platform: commands.Platform, version: int | None) -> Answer:
+async def show(platform: operations.Platform, version: int | None) -> Answer:
     """Show an accepted configuration.
 
     :param platform: The platform.
@@ -141,25 +141,25 @@
     :raises ConfigurationError: If there is no such version.
     """
     if version is None:
-        found: configuration.Configuration | None = await commands.read_current(
+        found: configuration.Configuration | None = await operations.read_current(
             platform
         )
     else:
-        found = await commands.read_version(platform, version)
+        found = await operations.read_version(platform, version)
     if found is None:
         raise ConfigurationError(f'version {version} is not stored')
     lines = [f'version = {found.version}', *configuration.show(found)]
     return Answer(lines, configuration.redacted(found))
 
 
-async def history(platform: commands.Platform, limit: int) -> Answer:
+async def history(platform: operations.Platform, limit: int) -> Answer:
     """List accepted versions.
 
     :param platform: The platform.
     :param limit: How many at most.
     :returns: The answer.
     """
-    rows = await commands.history(platform, limit)
+    rows = await operations.history(platform, limit)
     lines = [_history_line(row) for row in rows]
     return Answer(lines or ['no version yet'], rows)
 
@@ -262,7 +262,7 @@
     opened: Opened, file: str | None
 ) -> dict[tuple[str, str], float]:
     try:
-        found = await commands.read_current(opened())
+        found = await operations.read_current(opened())
     except PlatformError:
         # A report on a file must also work without a platform.
         if file is None:
--- a/monsoonproxy/cli.py
+++ b/monsoonproxy/cli.py
@@ -12,7 +12,7 @@
 import cappa
 
 from monsoonproxy import actions
-from monsoonproxy.commands import Platform
+from monsoonproxy.operations import Platform
 from monsoonproxy.exceptions import (
     ConflictError,
     MonsoonError,
@@ -275,7 +275,7 @@
 @cappa.command(name='monsoonctl', description=_CODES_HELP)
 @attrs.frozen
 class Monsoonctl:
-    """Arguments of all commands."""
+    """Arguments of all operations."""
 
     command: cappa.Subcommands[
         Check | Diff | Apply | Show | History | Status | Drain | Report | Keys
