Add supervisors, logs and the sockets between daemons

Cause: the parts of a daemon need restarts by rule and messages between hosts. Ruled out: queued sends to a peer that is not connected. A request that is delivered after it was given up would make 'not run' untrue, so a link refuses to send unless the connection is established (ZMQ_IMMEDIATE and connection events). Conclusion: a send either reaches an established connection or raises an error at once.

--- /dev/null
+++ b/monsoonproxy/supervisors.py
@@ -0,0 +1,164 @@
+"""Supervisors restart the tasks they own.
+
+A supervisor may own other supervisors, so the tasks of a daemon form a tree.
+A child that fails too often makes its supervisor fail, which hands the
+decision to the supervisor above.
+"""
+
+import asyncio
+import contextlib
+import enum
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
+
+import attrs
+
+from monsoonproxy.clock import Clock, Millis, seconds
+from monsoonproxy.exceptions import MonsoonError
+from monsoonproxy.logs import log_for
+
+TaskFactory: TypeAlias = Callable[[], Awaitable[None]]
+
+_log = log_for('supervisor')
+
+
+class SupervisorError(MonsoonError):
+    """A child failed more often than its restart rule allows."""
+
+
+class Restart(enum.Enum):
+    """When a child is started again."""
+
+    #: Always, also after it returned.
+    PERMANENT = 'permanent'
+    #: Only after it raised an error.
+    TRANSIENT = 'transient'
+    #: Never.
+    TEMPORARY = 'temporary'
+
+
+@attrs.frozen
+class RestartRule:
+    """How often and how fast a child is restarted.
+
+    :param restart: When it is started again.
+    :param most: Restarts allowed within ``window``.
+    :param window: Time in ms over which restarts are counted.
+    :param backoff: Time in ms before a restart.
+    """
+
+    restart: Restart = Restart.PERMANENT
+    most: int = 10
+    window: Millis = Millis(10_000)
+    backoff: Millis = Millis(100)
+
+
+@attrs.define
+class _Child:
+    name: str
+    factory: TaskFactory
+    rule: RestartRule
+    task: asyncio.Task[None] | None = None
+    restarts: list[Millis] = attrs.field(factory=list)
+
+
+class Supervisor:
+    """Runs children and restarts them by their rules.
+
+    :param name: Name for logs and the printed tree.
+    :param clock: Source of time.
+    """
+
+    def __init__(self, name: str, clock: Clock | None = None) -> None:
+        self.name = name
+        self._clock = clock or Clock()
+        self._children: dict[str, _Child] = {}
+        self._failed: asyncio.Future[None] | None = None
+
+    def start_child(
+        self, name: str, factory: TaskFactory, rule: RestartRule | None = None
+    ) -> None:
+        """Start a child.
+
+        :param name: Unique name of the child.
+        :param factory: Returns the coroutine to run, once per start.
+        :param rule: Restart rule; permanent by default.
+        """
+        child = _Child(name, factory, rule or RestartRule())
+        self._children[name] = child
+        child.task = asyncio.create_task(self._keep(child), name=name)
+
+    async def stop_child(self, name: str) -> None:
+        """Cancel a child and wait for its end.
+
+        :param name: Name of the child; unknown names are ignored.
+        """
+        child = self._children.pop(name, None)
+        if child is None or child.task is None:
+            return
+        child.task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await child.task
+
+    def children(self) -> tuple[str, ...]:
+        """Return the names of the running children.
+
+        :returns: Names in start order.
+        """
+        return tuple(self._children)
+
+    async def run(self) -> None:
+        """Wait until a child fails for good, then stop all children.
+
+        :raises SupervisorError: If a child passed its restart limit.
+        """
+        self._failed = asyncio.get_running_loop().create_future()
+        try:
+            await self._failed
+        finally:
+            await self.stop()
+
+    async def stop(self) -> None:
+        """Stop all children, the newest first."""
+        for name in reversed(self.children()):
+            await self.stop_child(name)
+
+    async def _keep(self, child: _Child) -> None:
+        while self._starts_again(child, failed=await self._run_once(child)):
+            if self._passed_limit(child):
+                self._escalate(child)
+                return
+            await asyncio.sleep(seconds(child.rule.backoff))
+        self._children.pop(child.name, None)
+
+    def _starts_again(self, child: _Child, *, failed: bool) -> bool:
+        restart = child.rule.restart
+        return restart is Restart.PERMANENT or (
+            restart is Restart.TRANSIENT and failed
+        )
+
+    async def _run_once(self, child: _Child) -> bool:
+        try:
+            await child.factory()
+        except asyncio.CancelledError:
+            raise
+        except Exception as exc:
+            _log.opt(exception=exc).warning(
+                '{}: {} failed: {!r}', self.name, child.name, exc
+            )
+            return True
+        return False
+
+    def _passed_limit(self, child: _Child) -> bool:
+        now = self._clock.now()
+        start = now - child.rule.window
+        child.restarts = [at for at in child.restarts if at > start]
+        child.restarts.append(now)
+        return len(child.restarts) > child.rule.most
+
+    def _escalate(self, child: _Child) -> None:
+        _log.error('{}: {} failed too often', self.name, child.name)
+        if self._failed is not None and not self._failed.done():
+            self._failed.set_exception(
+                SupervisorError(f'{self.name}: {child.name} failed too often')
+            )
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,96 @@
+"""Tests of the sockets between daemons."""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+
+import zmq
+
+from monsoonproxy import messages
+from monsoonproxy.exceptions import PeerError
+from monsoonproxy.peers import CurveKeys, Link, Listener
+from tests.fixtures import fixture, load_functions
+
+load_tests = load_functions(__name__)
+
+
+def _free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        _host, port = probe.getsockname()
+        return f'127.0.0.1:{port}'
+
+
+class Pair:
+    """A listener that answers pings, and a link to it."""
+
+    def __init__(self, server: CurveKeys | None, client: CurveKeys | None):
+        self.address = _free_address()
+        self.replies: asyncio.Queue[messages.AnyMessage] = asyncio.Queue()
+        self.lost = asyncio.Event()
+        self.listener = Listener(self.address, self._answer, server)
+        self.link = Link(
+            self.address,
+            b'test',
+            handler=lambda _address, reply: self.replies.put_nowait(reply),
+            lost=lambda _address: self.lost.set(),
+            keys=client,
+        )
+        self.tasks = [
+            asyncio.create_task(self.listener.run()),
+            asyncio.create_task(self.link.run()),
+        ]
+
+    def _answer(self, identity: bytes, message: messages.AnyMessage) -> None:
+        reply = messages.Pong(message.sent_at)
+        self.tasks.append(
+            asyncio.create_task(self.listener.send(identity, reply))
+        )
+
+    async def close(self) -> None:
+        """Stop both sides."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.listener.close()
+        self.link.close()
+
+
+def _keys() -> CurveKeys:
+    return CurveKeys(*zmq.curve_keypair())
+
+
+@fixture
+async def pair() -> AsyncIterator[Pair]:
+    """Yield a connected pair with one common key pair."""
+    keys = _keys()
+    made = Pair(keys, keys)
+    yield made
+    await made.close()
+
+
+async def test_round_trip(pair: Pair) -> None:
+    """Guards against replies that don't find their way back."""
+    assert await pair.link.wait_connected(10)
+    await pair.link.send(messages.Ping(7))
+    assert await pair.replies.get() == messages.Pong(7)
+
+
+async def test_lost_connection_refuses_sends(pair: Pair) -> None:
+    """Guards against a message that is delivered after it was given up."""
+    assert await pair.link.wait_connected(10)
+    pair.listener.close()
+    await pair.lost.wait()
+    try:
+        await pair.link.send(messages.Ping(1))
+    except PeerError:
+        return
+    raise AssertionError('a message was queued for a lost connection')
+
+
+async def test_wrong_key_is_refused() -> None:
+    """Guards against a peer that knows another site's key."""
+    made = Pair(_keys(), _keys())
+    connected = await made.link.wait_connected(0.5)
+    await made.close()
+    assert not connected
