--- /dev/null
+++ b/monsoonproxy/platforms.py
@@ -0,0 +1,160 @@
+"""Platform adapter over HTTP, with ``aiohttp``."""
+
+import asyncio
+import json
+from urllib.parse import quote
+
+import aiohttp
+import attrs
+
+from monsoonproxy import adapters
+from monsoonproxy.clock import Millis, seconds
+from monsoonproxy.exceptions import PlatformError, PreconditionError
+from monsoonproxy.models import Host, HostState
+
+_OK = 200
+_NOT_FOUND = 404
+_PRECONDITION_FAILED = 412
+_DEFAULT_TIMEOUT = Millis(1000)
+
+
+@attrs.frozen
+class _Reply:
+    status: int
+    etag: str
+    body: bytes
+
+
+@adapters.platforms.register('http')
+@attrs.define
+class HttpPlatform:
+    """The platform's services at one base URL.
+
+    It must be created while the event loop runs or before; its connections
+    are opened at the first call.
+
+    :param url: Base URL, such as ``http://127.0.0.1:8300``.
+    :param timeout: Time limit of each call.
+    """
+
+    url: str
+    timeout: Millis = _DEFAULT_TIMEOUT
+    _session: aiohttp.ClientSession | None = attrs.field(
+        default=None, init=False
+    )
+
+    async def read(self, key: str) -> adapters.Versioned | None:
+        """Read a key of the table service.
+
+        :param key: The key.
+        :returns: The value, or ``None`` if the key doesn't exist.
+        """
+        reply = await self._call('GET', _path('table', key))
+        if reply.status == _NOT_FOUND:
+            return None
+        _check(reply)
+        return adapters.Versioned(reply.etag, reply.body)
+
+    async def write(self, key: str, body: bytes, etag: str | None) -> str:
+        """Write a key of the table service if it is still as expected.
+
+        :param key: The key.
+        :param body: The new value.
+        :param etag: The expected version; ``None`` if it must not exist.
+        :returns: The new version.
+        :raises PreconditionError: If the stored version differs.
+        """
+        condition = (
+            {'If-None-Match': '*'} if etag is None else {'If-Match': etag}
+        )
+        reply = await self._call(
+            'PUT', _path('table', key), body=body, headers=condition
+        )
+        if reply.status == _PRECONDITION_FAILED:
+            raise PreconditionError(f'{key} was changed by someone else')
+        _check(reply)
+        return reply.etag
+
+    async def put_object(self, key: str, body: bytes) -> None:
+        """Store an object.
+
+        :param key: The key.
+        :param body: The content.
+        """
+        _check(await self._call('PUT', _path('objects', key), body=body))
+
+    async def get_object(self, key: str) -> bytes | None:
+        """Fetch an object.
+
+        :param key: The key.
+        :returns: The content, or ``None`` if the key doesn't exist.
+        """
+        reply = await self._call('GET', _path('objects', key))
+        if reply.status == _NOT_FOUND:
+            return None
+        _check(reply)
+        return reply.body
+
+    async def hosts(self) -> list[Host]:
+        """Fetch the host list.
+
+        :returns: The listed hosts.
+        :raises PlatformError: If the list is malformed.
+        """
+        reply = await self._call('GET', '/hosts')
+        _check(reply)
+        try:
+            return [_host(entry) for entry in json.loads(reply.body)]
+        except (ValueError, KeyError, TypeError) as exc:
+            raise PlatformError(f'malformed host list: {exc}') from exc
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> _Reply:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                timeout=aiohttp.ClientTimeout(total=seconds(self.timeout))
+            )
+        try:
+            async with self._session.request(
+                method, self.url + path, data=body, headers=headers
+            ) as response:
+                return _Reply(
+                    response.status,
+                    response.headers.get('ETag', ''),
+                    await response.read(),
+                )
+        except asyncio.TimeoutError as exc:
+            raise PlatformError(
+                f'{method} {path}: no answer within {self.timeout} ms'
+            ) from exc
+        except (aiohttp.ClientError, OSError) as exc:
+            raise PlatformError(f'{method} {path}: {exc}') from exc
+
+
+def _path(service: str, key: str) -> str:
+    return f'/{service}/{quote(key, safe="")}'
+
+
+def _check(reply: _Reply) -> None:
+    if reply.status != _OK:
+        raise PlatformError(f'the platform answered {reply.status}')
+
+
+def _host(entry: dict[str, str]) -> Host:
+    return Host(
+        address=entry['address'],
+        availability_zone=entry['availability_zone'],
+        state=HostState(entry['state']),
+    )
