--- a/monsoonproxy/adapters.py
+++ b/monsoonproxy/adapters.py
@@ -26,7 +26,8 @@
 
     :returns: An iterator that ends at once.
     """
-    for batch in ():
+    batches: tuple[list[messages.Row], ...] = ()
+    for batch in batches:
         yield batch
 
 
--- a/monsoonproxy/databases.py
+++ b/monsoonproxy/databases.py
@@ -5,10 +5,11 @@
 import re
 import ssl as tls
 from collections.abc import Mapping
+from typing import Any
 
 import attrs
 from asyncmy import errors
-from asyncmy.connection import Connection, MySQLResult
+from asyncmy.connection import Connection
 
 from monsoonproxy import adapters, messages
 from monsoonproxy.clock import Millis, seconds
@@ -22,7 +23,7 @@
 from monsoonproxy.models import BackendReport, Position, Role
 
 _COM_RESET_CONNECTION = 31
-_IN_TRANSACTION = 0x0001
+_IN_TRANSACTION = 1
 _UNKNOWN_THREAD = 1094
 #: Errors that end the connection: server shutdown, session killed, idle.
 _ENDING_CODES = frozenset((1053, 1927, 3169, 4031))
@@ -38,6 +39,14 @@
 class _Wire(Connection):
     """The client library's connection, opened up for raw results."""
 
+    # The library's stubs leave these attributes out.
+    server_status: int
+    _result: Any
+    _transport: Any
+    _stream_broken: bool
+    _execute_command: Any
+    _read_ok_packet: Any
+
     def broken(self) -> bool:
         """Tell whether the connection has already ended.
 
@@ -52,7 +61,7 @@
         """
         return self._result is not None and bool(self._result.unbuffered_active)
 
-    async def run(self, sql: bytes) -> MySQLResult:
+    async def run(self, sql: bytes) -> Any:
         """Run a statement, without reading its rows.
 
         :param sql: Statement text.
@@ -222,12 +231,12 @@
             raise ConnectionLostError('the backend server closed it')
 
     async def _rows(
-        self, answer: adapters.Answer, outcome: MySQLResult
+        self, answer: adapters.Answer, outcome: Any
     ) -> adapters.RowBatches:
         while True:
             try:
                 batch = await self._wire.batch()
-            except (errors.MySQLError, OSError, AttributeError) as exc:
+            except (errors.MySQLError, OSError) as exc:
                 raise self._converted(exc) from exc
             if not batch:
                 break
@@ -243,7 +252,7 @@
         rows = [row async for batch in answer.rows for row in batch]
         try:
             return _parsed_report(dict(zip(names, rows[0], strict=True)))
-        except (IndexError, KeyError, ValueError, TypeError) as exc:
+        except (LookupError, ValueError, TypeError) as exc:
             raise BackendError(
                 0, 'HY000', f'malformed status row: {rows!r}'
             ) from exc
