--- /dev/null
+++ b/monsoonproxy/quorum.py
@@ -0,0 +1,291 @@
+"""Acknowledgement of writes and confirmation of terms by a majority.
+
+A report counts for a term only if the backend server had not promised a higher
+term when the report was taken. A candidate of a higher term needs the promises
+of a majority, so at least one of them comes from a backend server that had
+already received everything acknowledged before.
+"""
+
+import attrs
+
+from monsoonproxy.clock import Millis
+from monsoonproxy.models import BackendReport, Position, Role
+
+Lineage = tuple[tuple[int, int], ...]
+
+
+def majority(count: int) -> int:
+    """Return the size of a majority.
+
+    :param count: Number of configured members.
+    :returns: The least number that is more than half of them.
+    """
+    return count // 2 + 1
+
+
+def counts_for(report: BackendReport, term: int) -> bool:
+    """Tell whether a report is evidence for positions of a term.
+
+    Only an equal ``log_term`` shows that the entry at an offset is the one
+    written in that term: an older log may hold another entry there.
+
+    :param report: A report.
+    :param term: The term of the positions.
+    :returns: Whether the report's ``received`` may be counted.
+    """
+    return report.log_term == term and report.promised_term <= term
+
+
+def majority_offset(offsets: list[int], needed: int) -> int | None:
+    """Return the highest offset that enough members have received.
+
+    :param offsets: Offsets of the members that count.
+    :param needed: How many must have received it.
+    :returns: The offset, or ``None`` if too few members count.
+    """
+    if len(offsets) < needed:
+        return None
+    return sorted(offsets, reverse=True)[needed - 1]
+
+
+def next_start(lineage: Lineage, term: int) -> tuple[int, int] | None:
+    """Return the first term after a given one in a lineage.
+
+    :param lineage: Terms and the offsets of their first entries, ascending.
+    :param term: A term, which need not be part of the lineage.
+    :returns: The later term and its first offset, or ``None``.
+    """
+    return next((entry for entry in lineage if entry[0] > term), None)
+
+
+def map_position(lineage: Lineage, position: Position) -> Position:
+    """Map a floor to the log of the current term.
+
+    :param lineage: Term starts of the current log.
+    :param position: A floor of any term.
+    :returns: The floor, or the start of the next term if that is lower.
+    """
+    start = next_start(lineage, position.term)
+    if start is None or position.offset < start[1]:
+        return position
+    return Position(*start)
+
+
+def contains(lineage: Lineage, position: Position) -> bool:
+    """Tell whether the entry at a position is part of a log.
+
+    :param lineage: Term starts of the log.
+    :param position: Position of an entry that once existed.
+    :returns: Whether the log has this entry, if it is long enough.
+    """
+    if all(term != position.term for term, _offset in lineage):
+        return False
+    start = next_start(lineage, position.term)
+    return start is None or position.offset < start[1]
+
+
+@attrs.define
+class _Member:
+    """What is known of one member.
+
+    ``received`` and ``confirmed`` are the maxima over the reports that count
+    for the current term, so a late report can't lower them.
+    """
+
+    report: BackendReport | None = None
+    sent_at: Millis = Millis(0)
+    heard_at: Millis = Millis(0)
+    received: int | None = None
+    confirmed: Millis | None = None
+
+    def accept(self, report: BackendReport, sent_at: Millis) -> None:
+        """Keep the latest report.
+
+        Polls overlap, so the time at which a poll was sent is not always the
+        order of the reports. A promise is never withdrawn, and a member that
+        has joined its promised term stays in it.
+
+        :param report: A report.
+        :param sent_at: When its poll was sent.
+        """
+        last = self.report
+        if last is None or _age(last, self.sent_at) <= _age(report, sent_at):
+            self.report = report
+            self.sent_at = sent_at
+
+    def count(self, report: BackendReport, sent_at: Millis, term: int) -> None:
+        """Count a report for the current term.
+
+        :param report: A report.
+        :param sent_at: When its poll was sent.
+        :param term: The current term.
+        """
+        if report.promised_term <= term:
+            self.confirmed = max(sent_at, self.confirmed or sent_at)
+        if counts_for(report, term):
+            self.received = max(report.received, self.received or 0)
+
+
+def _age(report: BackendReport, sent_at: Millis) -> tuple[int, bool, Millis]:
+    joined = report.log_term == report.promised_term
+    return report.promised_term, joined, sent_at
+
+
+class GroupView:
+    """What a holder knows of a group's terms and positions.
+
+    :param members: Names of the configured members.
+    """
+
+    def __init__(self, members: tuple[str, ...]) -> None:
+        self._members = {name: _Member() for name in members}
+        self._term = 0
+        self._lineage: Lineage = ()
+        self._committed: Position | None = None
+
+    @property
+    def members(self) -> tuple[str, ...]:
+        """Names of the configured members."""
+        return tuple(self._members)
+
+    @property
+    def term(self) -> int:
+        """The highest term known to be in force; 0 if none is known."""
+        return self._term
+
+    @property
+    def primary(self) -> str | None:
+        """The primary of the current term, unless it is known to be demoted."""
+        for name, member in self._members.items():
+            if _is_primary(member.report, self._term):
+                return name
+        return None
+
+    @property
+    def committed(self) -> Position | None:
+        """The highest acknowledged position."""
+        return self._committed
+
+    @property
+    def confirmed_at(self) -> Millis | None:
+        """The latest time at which a majority confirmed the current term."""
+        times = sorted(
+            member.confirmed
+            for member in self._members.values()
+            if member.confirmed is not None
+        )
+        needed = majority(len(self._members))
+        return times[-needed] if len(times) >= needed else None
+
+    @property
+    def lineage(self) -> Lineage:
+        """Terms of the current log with the offsets of their first entries."""
+        return self._lineage
+
+    def observe(
+        self, name: str, report: BackendReport, sent_at: Millis, now: Millis
+    ) -> None:
+        """Take a report into account.
+
+        :param name: The member that reported.
+        :param report: Its report.
+        :param sent_at: When the poll was sent that it answered.
+        :param now: The current time.
+        """
+        member = self._members.get(name)
+        if member is None:
+            return
+        member.heard_at = max(now, member.heard_at)
+        member.accept(report, sent_at)
+        if report.log_term > self._term:
+            self._enter_term(report.log_term)
+        if report.log_term == self._term and report.term_starts:
+            self._lineage = report.term_starts
+        member.count(report, sent_at, self._term)
+        self._commit()
+
+    def observe_commit(self, name: str, position: Position) -> None:
+        """Count the position of a commit that the primary has answered.
+
+        :param name: The primary.
+        :param position: The position in its answer.
+        """
+        member = self._members.get(name)
+        if member is not None and position.term == self._term:
+            member.received = max(position.offset, member.received or 0)
+            self._commit()
+
+    def acknowledged(self, position: Position) -> bool:
+        """Tell whether a write is on a majority.
+
+        A position of an earlier term counts only as part of the log that a
+        later acknowledged position extends.
+
+        :param position: Position of a write.
+        :returns: Whether it is known to survive any failover.
+        """
+        done = self._committed
+        if done is None or position.term > done.term:
+            return False
+        if position.term == done.term:
+            return position.offset <= done.offset
+        return contains(self._lineage, position)
+
+    def map_floor(self, position: Position) -> Position:
+        """Map a session's floor to the current log.
+
+        A floor of a term that is not yet known is returned unchanged; no
+        backend server may serve it before that term is known.
+
+        :param position: The floor.
+        :returns: The position that a read in the current term must reflect.
+        """
+        return map_position(self._lineage, position)
+
+    def report(self, name: str) -> BackendReport | None:
+        """Return the latest report of a member.
+
+        :param name: A member.
+        :returns: Its latest report, if any.
+        """
+        member = self._members.get(name)
+        return member.report if member else None
+
+    def change_members(self, members: tuple[str, ...]) -> None:
+        """Replace the configured members.
+
+        :param members: Names of the new members.
+        """
+        self._members = {
+            name: self._members.get(name, _Member()) for name in members
+        }
+        self._commit()
+
+    def _enter_term(self, term: int) -> None:
+        self._term = term
+        self._lineage = ()
+        for member in self._members.values():
+            member.received = None
+            if member.report is not None:
+                member.count(member.report, member.sent_at, term)
+
+    def _commit(self) -> None:
+        offsets = [
+            member.received
+            for member in self._members.values()
+            if member.received is not None
+        ]
+        offset = majority_offset(offsets, majority(len(self._members)))
+        if offset is None:
+            return
+        reached = Position(self._term, offset)
+        if self._committed is None or reached > self._committed:
+            self._committed = reached
+
+
+def _is_primary(report: BackendReport | None, term: int) -> bool:
+    return (
+        report is not None
+        and report.role is Role.PRIMARY
+        and counts_for(report, term)
+    )
