--- /dev/null
+++ b/monsoonproxy/backlog.py
@@ -0,0 +1,208 @@
+"""Waiting requests, and whether they fit before their deadlines."""
+
+import math
+
+import attrs
+
+from monsoonproxy.models import StatementKind
+from monsoonproxy.queues import Entry, Lane, Ticket
+
+
+@attrs.frozen
+class Capacity:
+    """Slots and the work already in flight on them.
+
+    :param slots: Slots of some backend servers.
+    :param busy: Work in flight in ms of one slot.
+    """
+
+    slots: int = 0
+    busy: float = 0
+
+    def plus(self, slots: int, busy: float) -> 'Capacity':
+        """Return the capacity together with another backend server's.
+
+        :param slots: Slots of the other one.
+        :param busy: Work in flight on the other one.
+        :returns: The sum.
+        """
+        return Capacity(self.slots + slots, self.busy + busy)
+
+    def until(self, remaining: float) -> float:
+        """Return what can still be done.
+
+        :param remaining: Time in ms.
+        :returns: Work in ms of one slot.
+        """
+        return self.slots * max(0, remaining) - self.busy
+
+
+@attrs.frozen
+class Outlook:
+    """What the backend servers can do from now on.
+
+    :param primary: Capacity of the primary.
+    :param replicas: Capacity of the replicas.
+    :param start: Time of the decision plus the round trip to them.
+    """
+
+    primary: Capacity
+    replicas: Capacity
+    start: int
+
+
+@attrs.frozen
+class Shortage:
+    """More work is due by a time than can be done.
+
+    :param due: The end of the interval of deadlines.
+    :param shared: Whether giving up reads for replicas helps.
+    """
+
+    due: int
+    shared: bool
+
+
+class Backlog:
+    """Waiting requests: those for the primary only, and those for any server.
+
+    :param width: Length in ms of the intervals in which work is summed up.
+    :param limit: Greatest number of waiting requests.
+    """
+
+    def __init__(self, width: int, limit: int) -> None:
+        self._limit = limit
+        self.own = Lane(width)
+        self.shared = Lane(width)
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests.
+
+        :returns: Their number.
+        """
+        return len(self.own) + len(self.shared)
+
+    @property
+    def full(self) -> bool:
+        """Tell whether there is no place for another request.
+
+        :returns: Whether the limit is reached.
+        """
+        return len(self) >= self._limit
+
+    @property
+    def total(self) -> float:
+        """Return the waiting work.
+
+        :returns: Work in ms of one slot.
+        """
+        return self.own.total + self.shared.total
+
+    def lane(self, ticket: Ticket) -> Lane:
+        """Return the lane of a ticket.
+
+        :param ticket: The ticket.
+        :returns: The lane.
+        """
+        read = ticket.kind is StatementKind.READ
+        return self.shared if read and ticket.replica else self.own
+
+    def add(self, entry: Entry) -> None:
+        """Add an entry without a check.
+
+        :param entry: The entry.
+        """
+        self.lane(entry.ticket).add(entry)
+
+    def discard(self, ticket: Ticket) -> Entry | None:
+        """Remove an entry.
+
+        :param ticket: Its ticket.
+        :returns: The entry, or ``None`` if it was not waiting.
+        """
+        return self.lane(ticket).discard(ticket.number)
+
+    def admit(self, entry: Entry, outlook: Outlook) -> list[Entry] | None:
+        """Add an entry, taking out others of lower weight if needed.
+
+        :param entry: The new entry.
+        :param outlook: What the backend servers can do.
+        :returns: What was taken out, or ``None`` if the new entry does not
+            fit, in which case nothing changed.
+        """
+        victims: list[Entry] = []
+        gain = entry.weight
+        self.add(entry)
+        while gain > 0:
+            shortage = self._shortage(outlook, 0)
+            if shortage is None and len(self) <= self._limit:
+                return victims
+            victim = self._victim(shortage, entry.weight, entry.ticket.number)
+            if victim is None:
+                break
+            gain -= victim.weight
+            victims.append(victim)
+            self.discard(victim.ticket)
+        self.discard(entry.ticket)
+        for restored in victims:
+            self.add(restored)
+        return None
+
+    def shed(self, outlook: Outlook, tolerance: float) -> list[Entry]:
+        """Take out what does not fit because estimates were too low.
+
+        :param outlook: What the backend servers can do.
+        :param tolerance: Relative excess of work that is accepted.
+        :returns: What was taken out.
+        """
+        victims: list[Entry] = []
+        shortage = self._shortage(outlook, tolerance)
+        while shortage is not None:
+            victim = self._victim(shortage, math.inf, -1)
+            if victim is None:
+                break
+            self.discard(victim.ticket)
+            victims.append(victim)
+            shortage = self._shortage(outlook, tolerance)
+        return victims
+
+    def _shortage(self, outlook: Outlook, tolerance: float) -> Shortage | None:
+        """Compare demand and capacity before each deadline.
+
+        Reads that the replicas can't do in time fall to the primary. Slots
+        are taken as perfectly divisible, so that work that fits is never
+        found not to fit.
+        """
+        own = self.own.demand()
+        shared = self.shared.demand()
+        own_work: float = 0
+        shared_work: float = 0
+        overflow: float = 0
+        for due in sorted(own.keys() | shared.keys()):
+            remaining = (due - outlook.start) * (1 + tolerance)
+            own_work += own.get(due, 0)
+            shared_work += shared.get(due, 0)
+            excess = shared_work - outlook.replicas.until(remaining)
+            overflow = max(overflow, excess)
+            if own_work + overflow > outlook.primary.until(remaining):
+                return Shortage(due, overflow > 0)
+        return None
+
+    def _victim(
+        self, shortage: Shortage | None, below: float, spared: int
+    ) -> Entry | None:
+        """Choose an entry of least weight, the last one that came."""
+        lanes = [self.own, self.shared]
+        due = _FAR
+        if shortage is not None:
+            due = shortage.due
+            lanes = lanes if shortage.shared else [self.own]
+        found = [lane.cheapest(due, below, spared) for lane in lanes]
+        return min(
+            (entry for entry in found if entry is not None),
+            key=lambda entry: (entry.weight, -entry.ticket.arrived),
+            default=None,
+        )
+
+
+_FAR = 1 << 62
--- /dev/null
+++ b/monsoonproxy/freshness.py
@@ -0,0 +1,236 @@
+"""How fresh the data of each backend server certainly is."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from monsoonproxy.clock import Millis
+from monsoonproxy.models import BackendReport, Position, Role
+from monsoonproxy.samples import Samples
+
+
+@attrs.define
+class Member:
+    """What is known about a backend server.
+
+    :param report: The report that describes its latest state.
+    :param sent_at: When that report was requested.
+    :param seen_at: When it arrived.
+    :param leaving: Whether it may get no more reads.
+    :param generation: Counts the times that it lost applied data.
+    :param since: Reports requested before this may describe lost data.
+    :param pace: Data completeness gained per ms.
+    :param mark: Time and completeness from which the pace is measured.
+    """
+
+    report: BackendReport | None = None
+    sent_at: int = 0
+    seen_at: int = 0
+    leaving: bool = False
+    generation: int = 0
+    since: int = 0
+    pace: float = 1
+    mark: tuple[int, int] | None = None
+
+
+class Freshness:
+    """Tracks the positions of the backend servers of one service.
+
+    :param members: Names of the group's backend servers.
+    :param samples: Empty samples of the primary's position.
+    """
+
+    def __init__(self, members: Iterable[str], samples: Samples) -> None:
+        self._members = {name: Member() for name in members}
+        self._samples = samples
+        self._starts: tuple[tuple[int, int], ...] = ()
+        self._generations = 0
+        self._term = 0
+        self._primary: str | None = None
+        self._confirmed_at: Millis | None = None
+
+    def add(self, name: str) -> None:
+        """Add a backend server, or one that came back.
+
+        :param name: Its name.
+        """
+        member = self._members.get(name)
+        if member is None or member.leaving:
+            # A new generation invalidates answers of the earlier one.
+            self._generations += 1
+            self._members[name] = Member(generation=self._generations)
+
+    def remove(self, name: str) -> None:
+        """Forget a backend server; answers it still sends are not valid.
+
+        :param name: Its name.
+        """
+        self._members.pop(name, None)
+
+    def set_leaving(self, name: str) -> None:
+        """Give a backend server no more reads.
+
+        :param name: Its name.
+        """
+        member = self._members.get(name)
+        if member is not None:
+            member.leaving = True
+
+    def set_group(
+        self,
+        term: int,
+        primary: str | None,
+        confirmed_at: Millis | None,
+        now: Millis,
+    ) -> None:
+        """Set what is known about the group's term.
+
+        :param term: The current term; a lower one than before is ignored.
+        :param primary: Its primary, if known.
+        :param confirmed_at: Latest time for which a majority confirmed it.
+        :param now: The time.
+        """
+        if term < self._term:
+            return
+        if (term, primary) != (self._term, self._primary):
+            self._samples.clear()
+            self._starts = ()
+            self._confirmed_at = None
+        self._term = term
+        self._primary = primary
+        known = self._confirmed_at
+        if confirmed_at is not None and (known is None or known < confirmed_at):
+            self._confirmed_at = min(confirmed_at, now)
+
+    def observe(
+        self, name: str, report: BackendReport, sent_at: Millis, now: Millis
+    ) -> None:
+        """Take in a report.
+
+        :param name: The backend server that sent it.
+        :param report: The report.
+        :param sent_at: When it was requested.
+        :param now: When it arrived.
+        """
+        member = self._members.get(name)
+        if member is None:
+            return
+        self._take_position(name, report, sent_at)
+        self._replace_report(member, report, sent_at, now)
+
+    def observe_commit(self, position: Position, sent_at: Millis) -> None:
+        """Take in the position of a commit on the primary.
+
+        Writes committed before the commit was sent come before it in the log.
+
+        :param position: Position in the answer to the commit.
+        :param sent_at: When the commit was sent.
+        """
+        if position.term == self._term:
+            self._samples.add(sent_at, position.offset)
+
+    def age(self, name: str, now: Millis) -> int | None:
+        """Return the conservative data age of a backend server.
+
+        :param name: Its name.
+        :param now: The time.
+        :returns: The age in ms, or ``None`` if it may serve nothing.
+        """
+        member = self._members.get(name)
+        if member is None or not self._usable(name, member):
+            return None
+        if name == self._primary:
+            fresh: int | None = self._confirmed_at
+        else:
+            fresh = self._fresh_until(applied_offset(member))
+        return None if fresh is None else max(0, now - fresh)
+
+    def _take_position(
+        self, name: str, report: BackendReport, sent_at: Millis
+    ) -> None:
+        in_office = report.role is Role.PRIMARY and name == self._primary
+        if in_office and report.log_term == self._term:
+            self._samples.add(sent_at, report.received)
+            self._starts = max(self._starts, report.term_starts, key=len)
+
+    def _replace_report(
+        self, member: Member, report: BackendReport, sent_at: int, now: int
+    ) -> None:
+        """Keep the report that describes the latest state.
+
+        Positions of one log only grow, so of two reports with overlapping
+        intervals the one with the greater position is the later one. A lower
+        position in a report requested after the other arrived means that the
+        backend server lost data.
+        """
+        old = member.report
+        member.leaving = member.leaving or report.leaving
+        if sent_at < member.since:
+            return
+        if old is not None and _progress(report) < _progress(old):
+            if sent_at < member.seen_at:
+                return
+            self._generations += 1
+            member.generation = self._generations
+            member.since = now
+        member.report = report
+        member.sent_at = sent_at
+        member.seen_at = now
+        self._update_pace(member, now)
+
+    def _update_pace(self, member: Member, now: int) -> None:
+        fresh = self._samples.fresh_until(applied_offset(member))
+        if fresh is None:
+            return
+        if member.mark is None or member.mark[1] > fresh:
+            member.mark = (now, fresh)
+        elapsed = now - member.mark[0]
+        if elapsed >= _PACE_WINDOW:
+            gained = (fresh - member.mark[1]) / elapsed
+            member.pace = (member.pace + min(gained, _MAX_PACE)) / 2
+            member.mark = (now, fresh)
+
+    def _usable(self, name: str, member: Member) -> bool:
+        report = member.report
+        if report is None or member.leaving or report.log_term != self._term:
+            return False
+        role = Role.PRIMARY if name == self._primary else Role.REPLICA
+        return report.role is role
+
+    def _fresh_until(self, applied: int) -> int | None:
+        """Return the time up to which an offset is known to be complete.
+
+        A sample newer than the confirmation still says which offsets the
+        writes before the confirmation have.
+        """
+        fresh = self._samples.fresh_until(applied)
+        if fresh is None or self._confirmed_at is None:
+            return None
+        return min(fresh, self._confirmed_at)
+
+    def _required(self, floor: Position | None) -> int | None:
+        if floor is None:
+            return 0
+        if floor.term > self._term:
+            return None
+        later = [start for term, start in self._starts if term > floor.term]
+        return min([floor.offset, *later])
+
+
+# Long enough to average over several reports, short enough to notice that a
+# replica stopped applying.
+_PACE_WINDOW = 20
+_MAX_PACE = 20
+
+
+def applied_offset(member: Member) -> int:
+    """Return the last offset that a backend server is known to have applied.
+
+    :param member: What is known about it.
+    :returns: The offset, 0 if it has not reported.
+    """
+    return member.report.applied if member.report else 0
+
+
+def _progress(report: BackendReport) -> tuple[int, int, int]:
+    return report.log_term, report.applied, report.received
--- /dev/null
+++ b/monsoonproxy/pools.py
@@ -0,0 +1,296 @@
+"""How many connections to open to a backend server, and when."""
+
+import enum
+import math
+from typing import TypeAlias
+
+import attrs
+
+from monsoonproxy.clock import Millis
+
+
+class CloseReason(enum.Enum):
+    """Why a connection is closed."""
+
+    IDLE = 'idle'
+    NOT_CLEAN = 'state unknown'
+    OVER_QUOTA = 'over quota'
+    NOT_HOLDER = 'no longer holder'
+    LEAVING = 'backend server leaving'
+
+
+@attrs.frozen
+class PoolRules:
+    """Settings of a pool.
+
+    :param connection_limit: Connections that the backend server accepts.
+    :param holders: Number of holders that share them.
+    :param slots: Statements that the backend server runs concurrently.
+    :param spare: Idle connections kept ahead of need.
+    :param max_opening: Greatest number of opens in progress.
+    :param open_interval: Least time between opens after the first ones.
+    :param open_burst: Opens allowed without that interval.
+    :param idle_timeout: Age at which an idle connection is closed.
+    :param backoff: First delay after a failed open; doubles each time.
+    :param max_backoff: Longest delay after a failed open.
+    :param regrow_interval: Time per connection regained after error 1040.
+    """
+
+    connection_limit: int
+    holders: int = 2
+    slots: int = 2
+    spare: int = 2
+    max_opening: int = 4
+    open_interval: Millis = Millis(5)
+    open_burst: int = 4
+    idle_timeout: Millis = Millis(30_000)
+    backoff: Millis = Millis(20)
+    max_backoff: Millis = Millis(1000)
+    regrow_interval: Millis = Millis(1000)
+
+    @property
+    def quota(self) -> int:
+        """Return the share of one holder.
+
+        :returns: ``floor(connection_limit / (holders + 1))``.
+        """
+        return self.connection_limit // (self.holders + 1)
+
+
+@attrs.frozen
+class Open:
+    """Open ``count`` connections."""
+
+    count: int
+
+
+@attrs.frozen
+class Close:
+    """Close these connections."""
+
+    connections: tuple[int, ...]
+    reason: CloseReason
+
+
+Command: TypeAlias = Open | Close
+
+
+@attrs.define
+class _Attempts:
+    """Opens in progress, failures, and the rate of further opens."""
+
+    started: list[int] = attrs.Factory(list)
+    failures: int = 0
+    not_before: int = 0
+    credit: float = 0
+    credited_at: int = 0
+
+
+class Pool:
+    """Connections of one holder to one backend server.
+
+    :param rules: Settings.
+    :param now: The time.
+    """
+
+    def __init__(self, rules: PoolRules, now: Millis = Millis(0)) -> None:
+        self._rules = rules
+        self._cap = rules.quota
+        self._regrow_at: int = now
+        self._idle: dict[int, int] = {}
+        self._leased: dict[int, int] = {}
+        self._closing: set[int] = set()
+        self._attempts = _Attempts(credit=rules.open_burst, credited_at=now)
+        self._active = True
+        self._stop_reason = CloseReason.NOT_HOLDER
+
+    @property
+    def idle(self) -> int:
+        """Return the number of connections ready for a lease.
+
+        :returns: The number of idle connections.
+        """
+        return len(self._idle)
+
+    @property
+    def total(self) -> int:
+        """Return how many connections the backend server may see.
+
+        :returns: Connections open, being opened or being closed.
+        """
+        held = len(self._idle) + len(self._leased) + len(self._closing)
+        return held + len(self._attempts.started)
+
+    @property
+    def cap(self) -> int:
+        """Return the current limit.
+
+        :returns: The quota, or less after error 1040.
+        """
+        return self._cap
+
+    def lease(self, transaction: int, now: Millis) -> int | None:
+        """Lease a connection to one transaction.
+
+        :param transaction: Number of the transaction.
+        :param now: The time.
+        :returns: The connection, or ``None`` if none is idle. The most
+            recently used one is taken so that the others can become idle.
+        """
+        if not self._idle or not self._active:
+            return None
+        connection, _since = self._idle.popitem()
+        self._leased[connection] = transaction
+        return connection
+
+    def release(
+        self, connection: int, transaction: int, clean: bool, now: Millis
+    ) -> list[Command]:
+        """Return a leased connection.
+
+        :param connection: The connection.
+        :param transaction: The transaction that leased it.
+        :param clean: Whether it is known to be outside a transaction and
+            without an open result or session state.
+        :param now: The time.
+        :returns: A command to close it unless it can be used again.
+        """
+        if self._leased.get(connection) != transaction:
+            return []
+        self._leased.pop(connection)
+        if not clean:
+            return self._close([connection], CloseReason.NOT_CLEAN)
+        if not self._active:
+            return self._close([connection], self._stop_reason)
+        if self.total >= self._cap:
+            return self._close([connection], CloseReason.OVER_QUOTA)
+        self._idle[connection] = now
+        return []
+
+    def opened(self, connection: int, now: Millis) -> list[Command]:
+        """Take in a connection that was opened.
+
+        :param connection: The new connection.
+        :param now: The time.
+        :returns: A command to close it if it is not wanted any more.
+        """
+        if self._attempts.started:
+            self._attempts.started.pop(0)
+        self._attempts.failures = 0
+        self._idle[connection] = now
+        if not self._active:
+            return self._close([connection], self._stop_reason)
+        if self.total > self._cap:
+            return self._close([connection], CloseReason.OVER_QUOTA)
+        return []
+
+    def open_failed(self, too_many: bool, now: Millis) -> None:
+        """Take in a failed open.
+
+        :param too_many: Whether the backend server answered 1040.
+        :param now: The time.
+        """
+        attempts = self._attempts
+        if attempts.started:
+            attempts.started.pop(0)
+        delay = self._rules.backoff << min(attempts.failures, 16)
+        attempts.failures += 1
+        attempts.not_before = now + min(delay, self._rules.max_backoff)
+        if too_many:
+            self._cap = max(1, min(self._cap, self.total))
+            self._regrow_at = now
+
+    def closed(self, connection: int) -> None:
+        """Take in that a connection is gone, whoever closed it.
+
+        :param connection: The connection.
+        """
+        self._idle.pop(connection, None)
+        self._leased.pop(connection, None)
+        self._closing.discard(connection)
+
+    def stop(self, reason: CloseReason) -> list[Command]:
+        """Close idle connections now and leased ones when they are released.
+
+        :param reason: Why the pool is not needed any more.
+        :returns: The command to close the idle connections.
+        """
+        self._active = False
+        self._stop_reason = reason
+        return self._close(list(self._idle), reason)
+
+    def resume(self) -> None:
+        """Use the pool again, after :meth:`stop`."""
+        self._active = True
+
+    def tick(self, waiting: int, now: Millis) -> list[Command]:
+        """Decide what to open and close; to be called every few ms.
+
+        :param waiting: Transactions that wait for a connection.
+        :param now: The time.
+        :returns: Commands.
+        """
+        self._regrow(now)
+        if not self._active:
+            return []
+        commands = self._close_idle(now)
+        count = self._to_open(waiting, now)
+        if count:
+            self._attempts.started.extend(now for _ in range(count))
+            self._attempts.credit -= count
+            commands.append(Open(count))
+        return commands
+
+    def _to_open(self, waiting: int, now: int) -> int:
+        attempts = self._attempts
+        self._refill(now)
+        if now < attempts.not_before:
+            return 0
+        wanted = max(
+            len(self._leased) + waiting + self._rules.spare,
+            self._rules.slots + self._rules.spare,
+        )
+        usable = len(self._idle) + len(self._leased) + len(attempts.started)
+        return max(
+            0,
+            min(
+                wanted - usable,
+                self._cap - self.total,
+                self._rules.max_opening - len(attempts.started),
+                math.floor(attempts.credit),
+            ),
+        )
+
+    def _refill(self, now: int) -> None:
+        attempts = self._attempts
+        elapsed = now - attempts.credited_at
+        earned = elapsed / max(1, self._rules.open_interval)
+        attempts.credit = min(self._rules.open_burst, attempts.credit + earned)
+        attempts.credited_at = now
+
+    def _regrow(self, now: int) -> None:
+        if self._cap >= self._rules.quota:
+            self._regrow_at = now
+        elif now - self._regrow_at >= self._rules.regrow_interval:
+            self._cap += 1
+            self._regrow_at = now
+
+    def _close_idle(self, now: int) -> list[Command]:
+        keep = self._rules.slots + self._rules.spare
+        surplus = max(0, len(self._idle) + len(self._leased) - keep)
+        old = [
+            connection
+            for connection, since in self._idle.items()
+            if now - since >= self._rules.idle_timeout
+        ]
+        return self._close(old[:surplus], CloseReason.IDLE)
+
+    def _close(
+        self, connections: list[int], reason: CloseReason
+    ) -> list[Command]:
+        for connection in connections:
+            self._idle.pop(connection, None)
+            self._closing.add(connection)
+        if not connections:
+            return []
+        return [Close(tuple(connections), reason)]
--- /dev/null
+++ b/monsoonproxy/routing.py
@@ -0,0 +1,268 @@
+"""Freshness of backend servers and the choice of one for each read."""
+
+import enum
+from collections.abc import Iterable, Mapping
+from typing import TypeAlias
+
+import attrs
+
+from monsoonproxy.clock import Millis
+from monsoonproxy.freshness import Freshness, applied_offset
+from monsoonproxy.models import Position
+from monsoonproxy.samples import Samples
+
+
+class Reason(enum.Enum):
+    """Why a read goes where it goes."""
+
+    FRESH_REPLICA = 'replica within bound and floor'
+    CATCHING_UP = 'replica about to catch up'
+    AGE = 'no replica within the bound'
+    FLOOR = 'no replica has applied the floor'
+    NO_REPLICA = 'no usable replica'
+    REPLICAS_BUSY = 'replicas answer too late'
+    NO_PRIMARY = 'no usable primary'
+    FUTURE_TERM = 'floor is of a later term'
+
+
+@attrs.frozen
+class RoutingRules:
+    """Settings of read routing.
+
+    :param hop: One-way time to a backend server.
+    :param max_samples: Greatest number of primary samples kept.
+    :param resolution: Relative spacing of old samples, see :class:`Samples`.
+    :param spill_wait: How much later than the primary a replica may answer
+        before a read goes to the primary for its load alone.
+    :param max_wait: Longest wait for a replica that is catching up.
+    """
+
+    hop: Millis = Millis(1)
+    max_samples: int = 2048
+    resolution: int = 256
+    spill_wait: Millis = Millis(50)
+    max_wait: Millis = Millis(100)
+
+
+@attrs.frozen
+class Load:
+    """Load of a backend server.
+
+    :param free_slots: Slots without a statement.
+    :param queued: Statements that wait for a slot.
+    :param service_time: Measured time of a statement in ms.
+    :param slots: Statements that run concurrently.
+    """
+
+    free_slots: int
+    queued: int
+    service_time: float
+    slots: int = 2
+
+    def wait(self) -> float:
+        """Estimate the wait of a new statement for a slot.
+
+        :returns: The wait in ms.
+        """
+        if self.free_slots > self.queued:
+            return 0
+        behind = self.queued - self.free_slots + 1
+        return self.service_time * behind / max(1, self.slots)
+
+
+@attrs.frozen
+class ReadRequest:
+    """What a read asks for.
+
+    :param max_age: Greatest age of the data in ms when the answer arrives.
+    :param floor: Position that the answer must cover.
+    :param deadline: When the answer is of no use any more.
+    """
+
+    max_age: int
+    floor: Position | None
+    deadline: Millis
+
+
+@attrs.frozen
+class Route:
+    """Send the read to a backend server now.
+
+    :param server: Name of the backend server.
+    :param reason: Why it was chosen.
+    :param term: Term in which the choice was made.
+    :param applied: Offset that the answer covers at least.
+    :param generation: Counts the times that the server lost applied data.
+    """
+
+    server: str
+    reason: Reason
+    term: int
+    applied: int
+    generation: int = 0
+
+
+@attrs.frozen
+class WaitFor:
+    """Ask again at ``until`` or when a report of ``server`` arrives."""
+
+    server: str
+    until: Millis
+    reason: Reason
+
+
+@attrs.frozen
+class NoRoute:
+    """No backend server can serve the read."""
+
+    reason: Reason
+
+
+Choice: TypeAlias = Route | WaitFor | NoRoute
+
+
+@attrs.frozen
+class _Candidate:
+    name: str
+    answers_at: float
+    ready_at: float
+
+
+class Router(Freshness):
+    """Chooses backend servers for the reads of one service.
+
+    :param members: Names of the group's backend servers.
+    :param rules: Settings.
+    """
+
+    def __init__(self, members: Iterable[str], rules: RoutingRules) -> None:
+        super().__init__(members, Samples(rules.max_samples, rules.resolution))
+        self._rules = rules
+
+    def choose_read(
+        self, req: ReadRequest, load: Mapping[str, Load], now: Millis
+    ) -> Choice:
+        """Choose a backend server; to be called when the read could start.
+
+        :param req: What the read asks for.
+        :param load: Load of each backend server.
+        :param now: The time.
+        :returns: Where to send it, whom to wait for, or why neither works.
+        """
+        floor = self._required(req.floor)
+        if floor is None:
+            return NoRoute(Reason.FUTURE_TERM)
+        replicas = [
+            self._candidate(name, req, floor, load, now)
+            for name, member in self._members.items()
+            if name != self._primary and self._usable(name, member)
+        ]
+        reason = self._obstacle(replicas, req, floor)
+        best = min(
+            replicas,
+            key=lambda one: (one.ready_at > now, one.answers_at),
+            default=None,
+        )
+        primary_at = self._primary_answers_at(load, now)
+        if best is not None and best.ready_at <= now:
+            spill = primary_at + self._rules.spill_wait
+            if best.answers_at <= max(spill, now):
+                return self._route(best.name, Reason.FRESH_REPLICA)
+            reason = Reason.REPLICAS_BUSY
+        elif best is not None and self._worth_waiting(best, primary_at, now):
+            until = Millis(int(best.ready_at) + 1)
+            return WaitFor(best.name, until, Reason.CATCHING_UP)
+        if self._primary is None or primary_at == _NEVER:
+            return NoRoute(Reason.NO_PRIMARY)
+        return self._route(self._primary, reason)
+
+    def still_valid(
+        self, route: Route, max_age: int, floor: Position | None, now: Millis
+    ) -> bool:
+        """Tell whether an answer that is in hand may be returned.
+
+        A bound of 0 needs a confirmation sent after the answer arrived, so
+        the question is to be asked again, with the same ``now``, after it.
+
+        :param route: The choice that led to the answer.
+        :param max_age: Greatest age of the data in ms.
+        :param floor: Position that the answer must cover.
+        :param now: When the answer arrived.
+        :returns: Whether the answer is within bound and floor.
+        """
+        member = self._members.get(route.server)
+        needed = self._required(floor)
+        if member is None or needed is None or route.term != self._term:
+            return False
+        if route.server == self._primary:
+            fresh: int | None = self._confirmed_at
+        elif route.generation != member.generation or route.applied < needed:
+            return False
+        else:
+            fresh = self._fresh_until(route.applied)
+        return fresh is not None and now - fresh <= max_age
+
+    def _candidate(
+        self,
+        name: str,
+        req: ReadRequest,
+        floor: int,
+        load: Mapping[str, Load],
+        now: Millis,
+    ) -> _Candidate:
+        """Estimate when a replica can start the read and when it answers."""
+        member = self._members[name]
+        flight = _flight(load.get(name), self._rules.hop)
+        fresh = self._fresh_until(applied_offset(member))
+        if fresh is None:
+            return _Candidate(name, _NEVER, _NEVER)
+        missing = max(0, now + flight - req.max_age - fresh)
+        if applied_offset(member) < floor:
+            missing = max(missing, self._floor_gap(floor, fresh, now))
+        ready_at = now + missing / max(member.pace, _MIN_PACE)
+        return _Candidate(name, ready_at + flight, ready_at)
+
+    def _floor_gap(self, floor: int, fresh: int, now: int) -> int:
+        reached = self._samples.reached(floor)
+        return max(1, (now if reached is None else reached) - fresh)
+
+    def _primary_answers_at(
+        self, load: Mapping[str, Load], now: Millis
+    ) -> float:
+        name = self._primary
+        member = self._members.get(name) if name else None
+        if name and member and self._usable(name, member):
+            return now + _flight(load.get(name), self._rules.hop)
+        return _NEVER
+
+    def _worth_waiting(
+        self, best: _Candidate, primary_at: float, now: Millis
+    ) -> bool:
+        soon = best.ready_at - now <= self._rules.max_wait
+        return soon and best.answers_at < primary_at
+
+    def _obstacle(
+        self, replicas: list[_Candidate], req: ReadRequest, floor: int
+    ) -> Reason:
+        if not replicas:
+            return Reason.NO_REPLICA
+        applied = [
+            applied_offset(self._members[replica.name]) for replica in replicas
+        ]
+        return Reason.FLOOR if max(applied) < floor else Reason.AGE
+
+    def _route(self, name: str, reason: Reason) -> Route:
+        member = self._members[name]
+        applied = applied_offset(member)
+        return Route(name, reason, self._term, applied, member.generation)
+
+
+_NEVER = float('inf')
+# A replica that stands still is not worth a wait.
+_MIN_PACE = 0.01
+
+
+def _flight(load: Load | None, hop: int) -> float:
+    if load is None:
+        return 2 * hop
+    return 2 * hop + load.wait() + load.service_time
--- /dev/null
+++ b/monsoonproxy/samples.py
@@ -0,0 +1,101 @@
+"""Samples of a primary's log position, from which data ages are derived."""
+
+import bisect
+
+from monsoonproxy.clock import Millis
+
+
+class Samples:
+    """Pairs ``(sent_at, offset)`` of one primary in one term.
+
+    A pair says that every write committed before ``sent_at`` has an offset of
+    at most ``offset``. A pair with a later time and no greater offset replaces
+    an earlier one, so both columns are strictly increasing, whatever the order
+    in which the reports arrive.
+
+    :param limit: Greatest number of pairs kept.
+    :param resolution: The spacing of pairs grows with their age: two pairs
+        that are closer than ``age / resolution`` may be merged.
+    """
+
+    def __init__(self, limit: int, resolution: int) -> None:
+        self._limit = limit
+        self._resolution = resolution
+        self._times: list[int] = []
+        self._offsets: list[int] = []
+
+    def __len__(self) -> int:
+        """Return the number of pairs.
+
+        :returns: The number of pairs kept.
+        """
+        return len(self._times)
+
+    def clear(self) -> None:
+        """Forget everything, because the term changed."""
+        self._times.clear()
+        self._offsets.clear()
+
+    def add(self, sent_at: Millis, offset: int) -> None:
+        """Add a pair.
+
+        :param sent_at: When the report was requested.
+        :param offset: The end of the primary's log in that report.
+        """
+        after = bisect.bisect_left(self._times, sent_at)
+        if after < len(self._times) and self._offsets[after] <= offset:
+            return
+        same_time = self._times[after : after + 1] == [sent_at]
+        stop = after + 1 if same_time else after
+        start = bisect.bisect_left(self._offsets, offset, 0, stop)
+        del self._times[start:stop]
+        del self._offsets[start:stop]
+        self._times.insert(start, sent_at)
+        self._offsets.insert(start, offset)
+        if len(self._times) > self._limit:
+            self._thin()
+
+    def fresh_until(self, applied: int) -> Millis | None:
+        """Return the time up to which an applied offset is complete.
+
+        :param applied: Offset that a backend server has applied.
+        :returns: A time before which no committed write is missing, or
+            ``None`` if no sample is covered.
+        """
+        index = bisect.bisect_right(self._offsets, applied) - 1
+        return Millis(self._times[index]) if index >= 0 else None
+
+    def reached(self, offset: int) -> Millis | None:
+        """Return when the log is known to have reached an offset.
+
+        :param offset: Offset of a write.
+        :returns: The request time of the first sample that covers it, or
+            ``None`` if no sample does.
+        """
+        index = bisect.bisect_left(self._offsets, offset)
+        if index == len(self._offsets):
+            return None
+        return Millis(self._times[index])
+
+    def covering(self, sent_at: int) -> int | None:
+        """Return the offset that makes data complete up to a time.
+
+        :param sent_at: A time.
+        :returns: The offset of the first sample at or after that time, or
+            ``None`` if there is none yet.
+        """
+        index = bisect.bisect_left(self._times, sent_at)
+        return self._offsets[index] if index < len(self._offsets) else None
+
+    def _thin(self) -> None:
+        newest = self._times[-1]
+        kept = [len(self._times) - 1]
+        for index in range(len(self._times) - 2, 0, -1):
+            gap = self._times[kept[-1]] - self._times[index - 1]
+            if gap * self._resolution > newest - self._times[index]:
+                kept.append(index)
+        # A quarter is freed at least, so that thinning stays rare.
+        kept = kept[: self._limit * 3 // 4]
+        kept.reverse()
+        self._times = [self._times[place] for place in kept]
+        self._offsets = [self._offsets[place] for place in kept]
