--- a/monsoonproxy/freshness.py
+++ b/monsoonproxy/freshness.py
@@ -33,6 +33,31 @@
     mark: tuple[int, int] | None = None
 
 
+@attrs.frozen
+class _Order:
+    """Compares a new report of a backend server with the one kept."""
+
+    member: Member
+    report: BackendReport
+    sent_at: int
+
+    def stale(self) -> bool:
+        kept = self.member
+        if self.sent_at < kept.since:
+            return True
+        if kept.report is None:
+            return False
+        old, new = _progress(kept.report), _progress(self.report)
+        if new == old:
+            # Of equal positions, the report requested last has the role.
+            return self.sent_at < kept.sent_at
+        return new < old and self.sent_at < kept.seen_at
+
+    def lost_data(self) -> bool:
+        old = self.member.report
+        return old is not None and _progress(self.report) < _progress(old)
+
+
 class Freshness:
     """Tracks the positions of the backend servers of one service.
 
@@ -163,13 +188,11 @@
         position in a report requested after the other arrived means that the
         backend server lost data.
         """
-        old = member.report
         member.leaving = member.leaving or report.leaving
-        if sent_at < member.since:
+        order = _Order(member, report, sent_at)
+        if order.stale():
             return
-        if old is not None and _progress(report) < _progress(old):
-            if sent_at < member.seen_at:
-                return
+        if order.lost_data():
             self._generations += 1
             member.generation = self._generations
             member.since = now
--- a/monsoonproxy/routing.py
+++ b/monsoonproxy/routing.py
@@ -38,7 +38,7 @@
     """
 
     hop: Millis = Millis(1)
-    max_samples: int = 2048
+    max_samples: int = 4096
     resolution: int = 256
     spill_wait: Millis = Millis(50)
     max_wait: Millis = Millis(100)
@@ -224,7 +224,9 @@
 
     def _floor_gap(self, floor: int, fresh: int, now: int) -> int:
         reached = self._samples.reached(floor)
-        return max(1, (now if reached is None else reached) - fresh)
+        if reached is None:
+            reached = Millis(now)
+        return max(1, reached - fresh)
 
     def _primary_answers_at(
         self, load: Mapping[str, Load], now: Millis
--- a/monsoonproxy/samples.py
+++ b/monsoonproxy/samples.py
@@ -15,7 +15,8 @@
 
     :param limit: Greatest number of pairs kept.
     :param resolution: The spacing of pairs grows with their age: two pairs
-        that are closer than ``age / resolution`` may be merged.
+        that are closer than ``age / resolution`` may be merged. It is
+        lowered as far as the limit requires.
     """
 
     def __init__(self, limit: int, resolution: int) -> None:
@@ -88,14 +89,29 @@
         return self._offsets[index] if index < len(self._offsets) else None
 
     def _thin(self) -> None:
-        newest = self._times[-1]
-        kept = [len(self._times) - 1]
-        for index in range(len(self._times) - 2, 0, -1):
-            gap = self._times[kept[-1]] - self._times[index - 1]
-            if gap * self._resolution > newest - self._times[index]:
-                kept.append(index)
-        # A quarter is freed at least, so that thinning stays rare.
+        """Free a quarter of the space at least, so that this stays rare."""
+        resolution = self._resolution
+        kept = self._spaced(resolution)
+        while len(kept) > self._limit * 3 // 4 and resolution > 1:
+            resolution //= 2
+            kept = self._spaced(resolution)
         kept = kept[: self._limit * 3 // 4]
         kept.reverse()
         self._times = [self._times[place] for place in kept]
         self._offsets = [self._offsets[place] for place in kept]
+
+    def _spaced(self, resolution: int) -> list[int]:
+        newest = self._times[-1]
+        oldest = bisect.bisect_left(self._times, newest - _HORIZON)
+        kept = [len(self._times) - 1]
+        for index in range(len(self._times) - 2, oldest, -1):
+            gap = self._times[kept[-1]] - self._times[index - 1]
+            if gap * resolution > newest - self._times[index]:
+                kept.append(index)
+        if kept[-1] != oldest:
+            kept.append(oldest)
+        return kept
+
+
+# A replica that is further behind serves no read before it catches up.
+_HORIZON = 600_000
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,253 @@
+"""Tests of data ages and the choice of backend servers for reads."""
+
+import bisect
+from typing import TypeAlias
+
+import attrs
+from hypothesis import given
+from hypothesis import strategies as st
+
+from monsoonproxy.clock import Millis
+from monsoonproxy.models import BackendReport, Position, Role
+from monsoonproxy.routing import (
+    Load,
+    NoRoute,
+    ReadRequest,
+    Reason,
+    Route,
+    Router,
+    RoutingRules,
+    WaitFor,
+)
+from tests.fixtures import load_functions
+
+load_tests = load_functions(__name__)
+
+_LOAD = {name: Load(2, 0, 3) for name in 'prs'}
+_END = 400
+
+
+def _report(name: str, received: int, **changes: object) -> BackendReport:
+    role = Role.PRIMARY if name == 'p' else Role.REPLICA
+    report = BackendReport(name, role, 1, 'c', 1, received, received, Millis(0))
+    return attrs.evolve(report, **changes)
+
+
+def _router(**changes: int) -> Router:
+    rules = RoutingRules(**{name: Millis(v) for name, v in changes.items()})
+    router = Router('prs', rules)
+    router.set_group(1, 'p', Millis(0), Millis(0))
+    return router
+
+
+def _caught_up(now: int = 100) -> Router:
+    router = _router()
+    for name in 'prs':
+        router.observe(name, _report(name, 7), Millis(now - 2), Millis(now))
+    router.set_group(1, 'p', Millis(now), Millis(now))
+    return router
+
+
+def _read(max_age: int = 50, floor: Position | None = None) -> ReadRequest:
+    return ReadRequest(max_age, floor, Millis(10_000))
+
+
+_times = st.integers(0, _END)
+_delays = st.integers(0, 60)
+_History: TypeAlias = tuple[list[int], list[tuple[int, int]]]
+_history = st.tuples(
+    st.lists(_times, max_size=30).map(sorted),
+    st.lists(st.tuples(_times, st.integers(0, 30)), max_size=20),
+)
+_polls = st.lists(
+    st.tuples(st.sampled_from('pr'), _times, _delays, _delays), max_size=40
+)
+
+
+def _applied(history: _History, time: int) -> int:
+    commits, steps = history
+    wanted = max([offset for at, offset in steps if at <= time], default=0)
+    return min(wanted, bisect.bisect_right(commits, time))
+
+
+def _true_age(commits: list[int], offset: int, now: int) -> int:
+    return max(0, now - commits[offset]) if offset < len(commits) else 0
+
+
+def _check_read(
+    router: Router, history: _History, now: int, draw: st.DataObject
+) -> None:
+    floor = Position(1, draw.draw(st.integers(0, 30)))
+    max_age = draw.draw(st.integers(0, 200))
+    choice = router.choose_read(_read(max_age, floor), _LOAD, Millis(now))
+    if not isinstance(choice, Route) or choice.server == 'p':
+        return
+    run_at = now + draw.draw(st.integers(0, 20))
+    done = run_at + draw.draw(st.integers(0, 20))
+    if router.still_valid(choice, max_age, floor, Millis(done)):
+        applied = _applied(history, run_at)
+        assert _true_age(history[0], applied, done) <= max_age
+        assert applied >= floor.offset
+
+
+@given(_history, _polls, st.lists(_times, max_size=8), st.data())
+def test_age_never_understated(
+    history: _History,
+    polls: list[tuple[str, int, int, int]],
+    confirmations: list[int],
+    draw: st.DataObject,
+) -> None:
+    """Guards against late or reordered reports that make data look fresher."""
+    commits, _ = history
+    router = _router(max_samples=8, resolution=4)
+    events = [
+        (state + after, name, state, max(0, state - before))
+        for name, state, before, after in polls
+    ]
+    events += [(at, 'confirm', at, at) for at in confirmations]
+    for now, name, state, sent_at in sorted(events):
+        if name == 'confirm':
+            router.set_group(1, 'p', Millis(max(0, now - 5)), Millis(now))
+            continue
+        offset = _applied(history, state)
+        if name == 'p':
+            offset = bisect.bisect_right(commits, state)
+        report = _report(name, offset)
+        router.observe(name, report, Millis(sent_at), Millis(now))
+        age = router.age('r', Millis(now))
+        true_age = _true_age(commits, _applied(history, now), now)
+        assert age is None or age >= true_age
+        _check_read(router, history, now, draw)
+
+
+@given(st.lists(st.tuples(_times, st.integers(0, 99)), max_size=200))
+def test_samples_bounded(pairs: list[tuple[int, int]]) -> None:
+    """Guards against memory that grows with the number of reports."""
+    router = _router(max_samples=16, resolution=8)
+    for sent_at, offset in pairs:
+        router.observe('p', _report('p', offset), Millis(sent_at), Millis(_END))
+        assert len(router._samples) <= 16
+
+
+def test_long_lag_within_samples() -> None:
+    """Guards against thinning that loses the samples of a far replica."""
+    router = _router(max_samples=512)
+    for now in range(0, 60_000, 2):
+        router.observe('p', _report('p', now), Millis(now), Millis(now + 2))
+    router.set_group(1, 'p', Millis(60_000), Millis(60_000))
+    for lag in (20, 500, 5_000, 50_000):
+        report = _report('r', 60_000 - lag)
+        router.add('r')
+        router.observe('r', report, Millis(60_000), Millis(60_000))
+        age = router.age('r', Millis(60_000))
+        assert age is not None
+        assert lag <= age <= lag * 1.05 + 4
+        router.remove('r')
+
+
+def test_fresh_replica_preferred() -> None:
+    """Guards against reads that load the primary without need."""
+    choice = _caught_up().choose_read(_read(), _LOAD, Millis(101))
+    assert isinstance(choice, Route)
+    assert choice.server in 'rs'
+    assert choice.reason is Reason.FRESH_REPLICA
+
+
+def test_less_loaded_replica() -> None:
+    """Guards against reads that queue beside an idle replica."""
+    load = {**_LOAD, 'r': Load(0, 3, 3)}
+    choice = _caught_up().choose_read(_read(), load, Millis(101))
+    assert isinstance(choice, Route)
+    assert choice.server == 's'
+
+
+def test_floor_of_own_write() -> None:
+    """Guards against a read that misses the session's own write."""
+    router = _caught_up()
+    router.observe_commit(Position(1, 8), Millis(100))
+    floor = Position(1, 8)
+    load = {**_LOAD, 'p': Load(0, 60, 3)}
+    choice = router.choose_read(_read(500, floor), load, Millis(101))
+    assert isinstance(choice, WaitFor)
+    idle = router.choose_read(_read(500, floor), _LOAD, Millis(101))
+    assert isinstance(idle, (Route, WaitFor))
+    assert idle.reason in {Reason.FLOOR, Reason.CATCHING_UP}
+    router.observe('s', _report('s', 8), Millis(101), Millis(103))
+    choice = router.choose_read(_read(500, floor), load, Millis(103))
+    assert isinstance(choice, Route)
+    assert choice.server == 's'
+
+
+def test_floor_of_unacknowledged_write() -> None:
+    """Guards against a floor that no log of the new term ever reaches."""
+    router = _caught_up()
+    router.set_group(2, 's', Millis(110), Millis(110))
+    starts = ((1, 1), (2, 8))
+    for name, role in (('s', Role.PRIMARY), ('r', Role.REPLICA)):
+        report = _report(name, 9, role=role, log_term=2, term_starts=starts)
+        router.observe(name, report, Millis(111), Millis(113))
+    router.set_group(2, 's', Millis(113), Millis(113))
+    read = _read(50, Position(1, 90))
+    choice = router.choose_read(read, _LOAD, Millis(114))
+    assert isinstance(choice, Route)
+    assert choice.server == 'r'
+    ahead = _read(50, Position(3, 1))
+    future = router.choose_read(ahead, _LOAD, Millis(114))
+    assert future == NoRoute(Reason.FUTURE_TERM)
+
+
+def test_old_term_serves_nothing() -> None:
+    """Guards against reads from a replaced primary or its followers."""
+    router = _caught_up()
+    before = router.choose_read(_read(), _LOAD, Millis(101))
+    router.set_group(2, 'r', Millis(102), Millis(102))
+    assert [router.age(name, Millis(103)) for name in 'prsx'] == [
+        None,
+        None,
+        None,
+        None,
+    ]
+    choice = router.choose_read(_read(), _LOAD, Millis(103))
+    assert choice == NoRoute(Reason.NO_PRIMARY)
+    assert isinstance(before, Route)
+    assert not router.still_valid(before, 50, None, Millis(103))
+
+
+def test_leaving_and_removed_serve_nothing() -> None:
+    """Guards against new work for a backend server that goes away."""
+    router = _caught_up()
+    router.set_leaving('r')
+    leaving = _report('s', 7, leaving=True)
+    router.observe('s', leaving, Millis(100), Millis(102))
+    choice = router.choose_read(_read(), _LOAD, Millis(103))
+    assert isinstance(choice, Route)
+    assert choice.server == 'p'
+    router.remove('p')
+    choice = router.choose_read(_read(), _LOAD, Millis(103))
+    assert choice == NoRoute(Reason.NO_PRIMARY)
+
+
+def test_lost_data_invalidates_answers() -> None:
+    """Guards against an answer of a replica that restarted empty."""
+    router = _caught_up()
+    router.remove('s')
+    route = router.choose_read(_read(), _LOAD, Millis(101))
+    assert isinstance(route, Route)
+    assert router.still_valid(route, 50, None, Millis(105))
+    router.observe('r', _report('r', 2), Millis(103), Millis(105))
+    assert not router.still_valid(route, 50, None, Millis(105))
+    router.observe('r', _report('r', 7), Millis(99), Millis(106))
+    assert router.age('r', Millis(106)) is None
+
+
+def test_primary_needs_confirmation() -> None:
+    """Guards against the answer of a primary that was replaced meanwhile."""
+    router = _caught_up()
+    router.remove('r')
+    router.remove('s')
+    route = router.choose_read(_read(0), _LOAD, Millis(101))
+    assert isinstance(route, Route)
+    assert router.still_valid(route, 20, None, Millis(110))
+    assert not router.still_valid(route, 0, None, Millis(110))
+    router.set_group(1, 'p', Millis(110), Millis(113))
+    assert router.still_valid(route, 0, None, Millis(110))
