--- /dev/null
+++ b/monsoonproxy/backends.py
@@ -0,0 +1,297 @@
+"""Connections of a holder to one backend server."""
+
+import asyncio
+import collections
+import contextlib
+import itertools
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import TypeAlias
+
+import attrs
+
+from monsoonproxy import pools
+from monsoonproxy.adapters import BackendConnection, DatabaseAdapter
+from monsoonproxy.clock import Clock, Millis, seconds
+from monsoonproxy.exceptions import (
+    BackendError,
+    ConnectionLostError,
+    TooManyConnectionsError,
+)
+from monsoonproxy.models import BackendReport
+
+#: Called with the name, the report and the time its poll was sent.
+ReportHandler: TypeAlias = Callable[[str, BackendReport, Millis], None]
+#: Called with the name and whether the connection was refused.
+UnreachableHandler: TypeAlias = Callable[[str, bool], None]
+
+#: Longest time in ms that a poll waits for a change of position.
+POLL_TIMEOUT = Millis(50)
+#: Time in ms beyond its own timeout after which a poll counts as failed.
+_POLL_GRACE = 250
+#: Pause in ms between two polls, which bounds their rate under load.
+_POLL_PAUSE = 2
+_RECONNECT_PAUSE = 50
+#: Time in ms within which a step of a failover must be answered.
+STEP_TIMEOUT = Millis(500)
+_CONNECT_TIMEOUT = Millis(500)
+#: Time in ms between two looks at the pool while nobody waits.
+_POOL_INTERVAL = 250
+_POOL_INTERVAL_WAITING = 5
+
+
+@attrs.frozen
+class Credentials:
+    """How a holder logs in to a backend server."""
+
+    user: str
+    password: str = attrs.field(repr=False)
+
+
+@attrs.define
+class Lease:
+    """A connection that one statement or transaction uses alone.
+
+    :param number: Number of the connection in the pool.
+    :param owner: Number of the lease.
+    :param conn: The connection.
+    :param clean: Whether it may be used again as it is. It is closed if its
+        state is unknown.
+    """
+
+    number: int
+    owner: int
+    conn: BackendConnection
+    clean: bool = False
+
+
+class Backend:
+    """Polls a backend server and lends out connections to it.
+
+    :param name: Name of the backend server in its group.
+    :param address: ``ip:port``.
+    :param adapter: Database adapter.
+    :param credentials: Log-in.
+    :param rules: Settings of the pool.
+    :param clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        adapter: DatabaseAdapter,
+        *,
+        credentials: Credentials,
+        rules: pools.PoolRules,
+        clock: Clock,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self._adapter = adapter
+        self._credentials = credentials
+        self._clock = clock
+        self._pool = pools.Pool(rules, clock.now())
+        self._connections: dict[int, BackendConnection] = {}
+        self._numbers = itertools.count(1)
+        self._waiting: collections.deque[asyncio.Future[None]]
+        self._waiting = collections.deque()
+        self._wake = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._probe_wanted = asyncio.Event()
+
+    async def connect(
+        self, timeout: Millis = _CONNECT_TIMEOUT
+    ) -> BackendConnection:
+        """Open a connection.
+
+        :param timeout: Longest time in ms to open it.
+        :returns: The connection.
+        :raises ConnectionLostError: If it can't be opened in time.
+        """
+        return await self._adapter.connect(
+            self.address,
+            user=self._credentials.user,
+            password=self._credentials.password,
+            timeout=timeout,
+        )
+
+    async def poll(
+        self, on_report: ReportHandler, on_unreachable: UnreachableHandler
+    ) -> None:
+        """Report positions as they change, until cancelled.
+
+        :param on_report: Takes each report.
+        :param on_unreachable: Takes each failure.
+        """
+        while True:
+            try:
+                await self._poll_connection(on_report)
+            except (ConnectionLostError, BackendError) as exc:
+                on_unreachable(self.name, getattr(exc, 'refused', False))
+            await asyncio.sleep(seconds(_RECONNECT_PAUSE))
+
+    def want_probe(self) -> None:
+        """Ask :meth:`probe` for a status that is requested from now on."""
+        self._probe_wanted.set()
+
+    async def probe(
+        self, on_report: ReportHandler, on_unreachable: UnreachableHandler
+    ) -> None:
+        """Report the status whenever it is wanted, until cancelled.
+
+        :param on_report: Takes each report.
+        :param on_unreachable: Takes each failure.
+        """
+        while True:
+            await self._probe_wanted.wait()
+            try:
+                await self._probe_connection(on_report)
+            except (ConnectionLostError, BackendError) as exc:
+                on_unreachable(self.name, getattr(exc, 'refused', False))
+                await asyncio.sleep(seconds(_RECONNECT_PAUSE))
+
+    async def keep_pool(self) -> None:
+        """Open and close connections as the pool demands, until cancelled."""
+        while True:
+            self._run(self._pool.tick(len(self._waiting), self._clock.now()))
+            pause = _POOL_INTERVAL
+            if self._waiting:
+                pause = _POOL_INTERVAL_WAITING
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(seconds(pause)):
+                    await self._wake.wait()
+
+    async def acquire(self, owner: int, timeout: int) -> Lease:
+        """Take a connection until :meth:`release`.
+
+        :param owner: Number of the statement or transaction.
+        :param timeout: Longest time in ms to wait.
+        :returns: The lease.
+        :raises ConnectionLostError: If none could be had in time.
+        """
+        try:
+            async with asyncio.timeout(seconds(timeout)):
+                return await self._acquire(owner)
+        except TimeoutError:
+            raise ConnectionLostError('no connection is free') from None
+
+    def release(self, lease: Lease) -> None:
+        """Give a connection back.
+
+        :param lease: The lease; its connection is closed unless it is clean.
+        """
+        now = self._clock.now()
+        self._run(
+            self._pool.release(lease.number, lease.owner, lease.clean, now)
+        )
+        self._hand_out()
+
+    async def close(self) -> None:
+        """Close all idle connections; leased ones close on their return."""
+        self._run(self._pool.stop(pools.CloseReason.NOT_HOLDER))
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    @contextlib.asynccontextmanager
+    async def step(self) -> AsyncIterator[BackendConnection]:
+        """Open a connection for one step of a failover.
+
+        :yields: A fresh connection, since those in use may not respond.
+        """
+        conn = await self.connect(STEP_TIMEOUT)
+        try:
+            async with asyncio.timeout(seconds(STEP_TIMEOUT)):
+                yield conn
+        except TimeoutError:
+            raise ConnectionLostError('no answer in time', sent=True) from None
+        finally:
+            await conn.close()
+
+    async def _acquire(self, owner: int) -> Lease:
+        while True:
+            number = self._pool.lease(owner, self._clock.now())
+            if number is not None:
+                return Lease(number, owner, self._connections[number])
+            waiter = asyncio.get_running_loop().create_future()
+            self._waiting.append(waiter)
+            self._wake.set()
+            try:
+                await waiter
+            finally:
+                with contextlib.suppress(ValueError):
+                    self._waiting.remove(waiter)
+
+    def _hand_out(self) -> None:
+        """Wake as many waiting tasks as there are idle connections."""
+        for waiter in list(self._waiting)[: self._pool.idle]:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    def _run(self, commands: list[pools.Command]) -> None:
+        for command in commands:
+            if isinstance(command, pools.Open):
+                for _ in range(command.count):
+                    self._spawn(self._open())
+            else:
+                for number in command.connections:
+                    self._spawn(self._close(number))
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _open(self) -> None:
+        try:
+            conn = await self.connect()
+        except (ConnectionLostError, BackendError) as exc:
+            too_many = isinstance(exc, TooManyConnectionsError)
+            self._pool.open_failed(too_many, self._clock.now())
+            return
+        number = next(self._numbers)
+        self._connections[number] = conn
+        self._run(self._pool.opened(number, self._clock.now()))
+        self._hand_out()
+
+    async def _close(self, number: int) -> None:
+        conn = self._connections.pop(number, None)
+        if conn is not None:
+            await conn.close()
+        self._pool.closed(number)
+        self._wake.set()
+
+    async def _poll_connection(self, on_report: ReportHandler) -> None:
+        conn = await self.connect()
+        try:
+            sent_at = self._clock.now()
+            report = await self._in_time(conn.status())
+            while True:
+                on_report(self.name, report, sent_at)
+                await asyncio.sleep(seconds(_POLL_PAUSE))
+                sent_at = self._clock.now()
+                report = await self._in_time(
+                    conn.wait_change(
+                        report.received, report.applied, POLL_TIMEOUT
+                    )
+                )
+        finally:
+            await conn.close()
+
+    async def _probe_connection(self, on_report: ReportHandler) -> None:
+        conn = await self.connect()
+        try:
+            while True:
+                await self._probe_wanted.wait()
+                self._probe_wanted.clear()
+                sent_at = self._clock.now()
+                report = await self._in_time(conn.status())
+                on_report(self.name, report, sent_at)
+        finally:
+            await conn.close()
+
+    async def _in_time(self, call: Awaitable[BackendReport]) -> BackendReport:
+        try:
+            async with asyncio.timeout(seconds(POLL_TIMEOUT + _POLL_GRACE)):
+                return await call
+        except TimeoutError:
+            raise ConnectionLostError('a poll was not answered') from None
--- /dev/null
+++ b/monsoonproxy/claims.py
@@ -0,0 +1,69 @@
+"""Claims of terms in the platform's table service.
+
+A claim only keeps candidates from competing. Safety rests on the backend
+servers, which grant each term to one candidate.
+"""
+
+import json
+
+import attrs
+
+from monsoonproxy import signals
+from monsoonproxy.adapters import PlatformAdapter, Versioned
+from monsoonproxy.exceptions import PlatformError, PreconditionError
+
+
+@attrs.frozen
+class _Claim:
+    """The stored claim of a service."""
+
+    term: int
+    candidate: str
+
+
+class TermClaims:
+    """Claims terms for one candidate.
+
+    :param platform: Adapter of the platform.
+    :param candidate: Name of this daemon's incarnation.
+    """
+
+    def __init__(self, platform: PlatformAdapter, candidate: str) -> None:
+        self.candidate = candidate
+        self._platform = platform
+
+    async def claim(self, service: str, term: int) -> signals.ClaimEnd:
+        """Store the claim of a term unless it is already claimed.
+
+        :param service: Name of the service.
+        :param term: The term.
+        :returns: How the claim ended.
+        """
+        key = f'terms/{service}'
+        body = json.dumps({'term': term, 'candidate': self.candidate})
+        try:
+            stored = await self._platform.read(key)
+            found = _parse(stored)
+            if found.term >= term and found.candidate != self.candidate:
+                return signals.ClaimRefused(found.term)
+            etag = stored.etag if stored else None
+            await self._platform.write(key, body.encode(), etag)
+        except PreconditionError:
+            return await self._lost_race(key, term)
+        except PlatformError:
+            return signals.ClaimFailed()
+        return signals.TermClaimed(term)
+
+    async def _lost_race(self, key: str, term: int) -> signals.ClaimEnd:
+        try:
+            found = _parse(await self._platform.read(key))
+        except PlatformError:
+            return signals.ClaimFailed()
+        return signals.ClaimRefused(max(found.term, term))
+
+
+def _parse(stored: Versioned | None) -> _Claim:
+    if stored is None:
+        return _Claim(0, '')
+    fields = json.loads(stored.body)
+    return _Claim(int(fields['term']), str(fields['candidate']))
--- /dev/null
+++ b/monsoonproxy/groups.py
@@ -0,0 +1,289 @@
+"""A holder's view of one group of backend servers, and its failover."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Awaitable, Callable, Mapping
+
+from monsoonproxy import claims, quorum, signals
+from monsoonproxy.backends import Backend
+from monsoonproxy.clock import Clock, Millis, seconds
+from monsoonproxy.exceptions import BackendError, ConnectionLostError
+from monsoonproxy.failover import Failover
+from monsoonproxy.logs import log_for
+from monsoonproxy.models import BackendReport, Position
+from monsoonproxy.routing import Router, RoutingRules
+
+_log = log_for('group')
+
+#: Time in ms after which a wait asks the backend servers again.
+_ASK_AGAIN = 25
+
+
+class Group:
+    """Feeds reports to the decisions about a group and runs their commands.
+
+    :param service: Name of the service.
+    :param backends: Backend servers by name.
+    :param claim: Claims terms in the table service.
+    :param failover: The failover's state machine.
+    :param changed: Called after each report.
+    :param clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        backends: Mapping[str, Backend],
+        claim: claims.TermClaims,
+        failover: Failover,
+        changed: Callable[[], None],
+        clock: Clock,
+    ) -> None:
+        self.service = service
+        self.backends = dict(backends)
+        self.failover = failover
+        self.router = Router(backends, RoutingRules())
+        self._claim = claim
+        self._clock = clock
+        self._on_change = changed
+        self._changed = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        #: Latest position of the primary and when it was asked for.
+        self._samples: dict[str, tuple[Position, Millis]] = {}
+
+    @property
+    def view(self) -> quorum.GroupView:
+        """What is known of the group's terms and positions."""
+        return self.failover.evidence.view
+
+    async def run(self) -> None:
+        """Watch the backend servers until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                for backend in self.backends.values():
+                    tasks.create_task(
+                        backend.poll(self._observe, self._unreachable)
+                    )
+                    tasks.create_task(
+                        backend.probe(self._observe, self._unreachable)
+                    )
+                    tasks.create_task(backend.keep_pool())
+                tasks.create_task(self._tick())
+        finally:
+            for task in self._tasks:
+                task.cancel()
+
+    def handle(self, event: signals.Event) -> None:
+        """Pass an event to the failover and run its commands.
+
+        :param event: What happened.
+        """
+        for command in self.failover.handle(event, self._clock.now()):
+            self._run(command)
+
+    def committed_at(
+        self, name: str, position: Position, sent_at: Millis
+    ) -> None:
+        """Take in the position of a commit on the primary.
+
+        :param name: The primary.
+        :param position: The position in its answer.
+        :param sent_at: When the commit was sent.
+        """
+        self.view.observe_commit(name, position)
+        self.router.observe_commit(position, sent_at)
+
+    def fate(self, position: Position) -> bool | None:
+        """Tell what became of a write.
+
+        :param position: Position of the write.
+        :returns: ``True`` if it is acknowledged, ``False`` if a later term
+            went on without it, ``None`` if that isn't known yet.
+        """
+        view = self.view
+        if view.acknowledged(position):
+            return True
+        done = view.committed
+        if done is None or done.term <= position.term or not view.lineage:
+            return None
+        return quorum.contains(view.lineage, position)
+
+    async def wait_fate(self, position: Position, deadline: int) -> bool | None:
+        """Wait until :meth:`fate` is known.
+
+        :param position: Position of the write.
+        :param deadline: When to stop waiting.
+        :returns: What :meth:`fate` returned last.
+        """
+        await self._wait(lambda: self.fate(position) is not None, deadline)
+        return self.fate(position)
+
+    async def confirm(self, since: Millis, deadline: int) -> bool:
+        """Wait until a majority confirmed the term after a time.
+
+        When this returns ``True``, a majority has also received all that an
+        answer of the primary before ``since`` may contain.
+
+        :param since: The time.
+        :param deadline: When to stop waiting.
+        :returns: Whether it was confirmed.
+        """
+        self.ask()
+        return await self._wait(
+            lambda: self._confirmed(since), deadline, ask=True
+        )
+
+    def position_since(self, since: Millis) -> Position | None:
+        """Return a position that covers all writes before a time.
+
+        :param since: The time.
+        :returns: The primary's position, or ``None`` if no status has arrived
+            that was asked for since then.
+        """
+        sample = self._samples.get(self.view.primary or '')
+        if sample is None or sample[1] < since:
+            return None
+        return sample[0]
+
+    def _confirmed(self, since: Millis) -> bool:
+        confirmed_at = self.view.confirmed_at
+        if confirmed_at is None or confirmed_at < since:
+            return False
+        primary = self.view.primary
+        sample = self._samples.get(primary) if primary else None
+        if sample is None or sample[1] < since:
+            return False
+        done = self.view.committed
+        return done is not None and done >= sample[0]
+
+    async def _wait(
+        self,
+        condition: Callable[[], bool],
+        deadline: int,
+        *,
+        ask: bool = False,
+    ) -> bool:
+        while not condition():
+            now = self._clock.now()
+            if now >= deadline:
+                return False
+            pause = min(deadline - now, _ASK_AGAIN)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(seconds(pause)):
+                    await self._changed.wait()
+            if ask and not condition():
+                self.ask()
+        return True
+
+    def ask(self) -> None:
+        """Ask all backend servers for their status now."""
+        for backend in self.backends.values():
+            backend.want_probe()
+
+    def _observe(
+        self, name: str, report: BackendReport, sent_at: Millis
+    ) -> None:
+        now = self._clock.now()
+        self.handle(signals.Reported(name, report, sent_at))
+        view = self.view
+        self.router.set_group(view.term, view.primary, view.confirmed_at, now)
+        self.router.observe(name, report, sent_at, now)
+        if name == view.primary and report.log_term == view.term:
+            position = Position(report.log_term, report.received)
+            last = self._samples.get(name)
+            if last is None or last[1] <= sent_at:
+                self._samples = {name: (position, sent_at)}
+        self._notify()
+
+    def _unreachable(self, name: str, refused: bool) -> None:
+        self.handle(signals.Unreachable(name, refused))
+        self._notify()
+
+    def _notify(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+        self._on_change()
+
+    async def _tick(self) -> None:
+        while True:
+            now = self._clock.now()
+            wakeup = self.failover.next_wakeup(now)
+            pause = 100 if wakeup is None else max(1, wakeup - now)
+            await asyncio.sleep(seconds(pause))
+            self.handle(signals.Tick())
+            self._notify()
+
+    def _run(self, command: signals.Command) -> None:
+        if isinstance(command, signals.Probe):
+            self.backends[command.name].want_probe()
+        elif isinstance(command, signals.PrimaryChanged):
+            _log.info(
+                '{}: {} is primary in term {}',
+                self.service,
+                command.name,
+                command.term,
+            )
+        elif isinstance(command, signals.GiveUp):
+            _log.info(
+                '{}: A failover attempt ended: {}', self.service, command.reason
+            )
+        else:
+            self._spawn(self._step(command))
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _step(self, command: signals.Command) -> None:
+        if isinstance(command, signals.ClaimTerm):
+            _log.info('{}: Claiming term {}', self.service, command.term)
+            event = await self._claim.claim(self.service, command.term)
+        elif isinstance(command, signals.SetTerm):
+            event = await self._set_term(command)
+        elif isinstance(command, signals.Promote):
+            _log.info('{}: Promoting {}', self.service, command.name)
+            event = await self._promote(command)
+        else:
+            event = await self._follow(command)
+        self.handle(event)
+        self._notify()
+
+    async def _set_term(self, command: signals.SetTerm) -> signals.Event:
+        try:
+            async with self.backends[command.name].step() as conn:
+                report = await conn.set_term(
+                    command.term, self._claim.candidate
+                )
+        except (ConnectionLostError, BackendError):
+            return signals.TermFailed(command.name)
+        return signals.TermAnswered(command.name, report)
+
+    async def _promote(self, command: signals.Promote) -> signals.Event:
+        try:
+            async with self.backends[command.name].step() as conn:
+                report = await conn.promote(command.term, self._claim.candidate)
+        except (ConnectionLostError, BackendError) as exc:
+            _log.warning('{}: Promotion failed: {}', self.service, exc)
+            return signals.PromoteFailed(command.name)
+        return signals.Promoted(command.name, report)
+
+    async def _follow(self, command: signals.Follow) -> signals.Event:
+        source = self.backends[command.source_name].address
+        try:
+            async with self.backends[command.name].step() as conn:
+                report = await conn.follow(command.term, source)
+        except (ConnectionLostError, BackendError):
+            return signals.FollowFailed(command.name)
+        return signals.Followed(command.name, report)
+
+
+def candidate_name(address: str, rng: random.Random) -> str:
+    """Return a name for a daemon's incarnation as a candidate.
+
+    :param address: Address of the daemon.
+    :param rng: Source of the random part.
+    :returns: A name that a restarted daemon does not use again.
+    """
+    return f'{address}/{rng.getrandbits(64):016x}'
--- /dev/null
+++ b/monsoonproxy/records.py
@@ -0,0 +1,127 @@
+"""Records of request ids, which make a write run at most once.
+
+The record is written in the transaction of the write, so it exists exactly if
+the write took effect.
+"""
+
+import re
+
+import attrs
+
+from monsoonproxy.adapters import Answer, BackendConnection
+from monsoonproxy.exceptions import BackendError, MarksError
+
+TABLE = 'monsoonproxy_requests'
+
+_CREATE = (
+    f'CREATE TABLE IF NOT EXISTS {TABLE} (id VARCHAR(64) PRIMARY KEY,'
+    ' affected_rows BIGINT, last_id BIGINT)'
+)
+_DUPLICATE_KEY = 1062
+_NO_SUCH_TABLE = 1146
+_ID = re.compile(r'[A-Za-z0-9_.:\-]{1,64}')
+
+
+@attrs.frozen
+class Recorded:
+    """What a request that ran before has returned.
+
+    :param affected_rows: Rows that it changed.
+    :param insert_id: Its last insert id.
+    """
+
+    affected_rows: int
+    insert_id: int
+
+
+def check_id(request_id: str) -> str:
+    """Check the form of a request id.
+
+    :param request_id: The caller's id.
+    :returns: The id, which needs no escaping in a statement.
+    :raises MarksError: If it has another form.
+    """
+    if not _ID.fullmatch(request_id):
+        raise MarksError(
+            'request_id: must be 1 to 64 letters, digits or the characters _.:-'
+        )
+    return request_id
+
+
+async def insert(conn: BackendConnection, request_id: str) -> bool:
+    """Insert the record of a request in the open transaction.
+
+    :param conn: A connection with an open transaction.
+    :param request_id: The id.
+    :returns: ``False`` if the request ran before.
+    :raises BackendError: If the backend server refuses for another reason.
+    """
+    sql = (
+        f'INSERT INTO {TABLE} (id, affected_rows, last_id)'
+        f" VALUES ('{request_id}', 0, 0)"
+    )
+    try:
+        await conn.query(sql.encode())
+    except BackendError as exc:
+        if exc.code == _DUPLICATE_KEY:
+            return False
+        raise
+    return True
+
+
+async def complete(
+    conn: BackendConnection, request_id: str, answer: Answer
+) -> None:
+    """Add the result of the write to its record.
+
+    :param conn: The connection with the open transaction.
+    :param request_id: The id.
+    :param answer: The answer of the write.
+    """
+    if not answer.affected_rows and not answer.insert_id:
+        return
+    sql = (
+        f'UPDATE {TABLE} SET affected_rows = {answer.affected_rows},'
+        f" last_id = {answer.insert_id} WHERE id = '{request_id}'"
+    )
+    await conn.query(sql.encode())
+
+
+async def find(conn: BackendConnection, request_id: str) -> Recorded | None:
+    """Look a request up.
+
+    :param conn: A connection to the primary of the current term.
+    :param request_id: The id.
+    :returns: Its record, or ``None`` if the request did not run.
+    """
+    sql = (
+        f"SELECT affected_rows, last_id FROM {TABLE} WHERE id = '{request_id}'"
+    )
+    try:
+        answer = await conn.query(sql.encode())
+    except BackendError as exc:
+        if exc.code == _NO_SUCH_TABLE:
+            return None
+        raise
+    found = None
+    async for batch in answer.rows:
+        for affected_rows, insert_id in batch:
+            found = Recorded(int(affected_rows or 0), int(insert_id or 0))
+    return found
+
+
+def is_missing_table(exc: BackendError) -> bool:
+    """Tell whether an error says that the table of records is missing.
+
+    :param exc: An error of the backend server.
+    :returns: Whether :func:`create_table` may help.
+    """
+    return exc.code == _NO_SUCH_TABLE and TABLE in exc.message
+
+
+async def create_table(conn: BackendConnection) -> None:
+    """Create the table of records.
+
+    :param conn: A connection to the primary, outside a transaction.
+    """
+    await conn.query(_CREATE.encode())
--- a/monsoonproxy/routing.py
+++ b/monsoonproxy/routing.py
@@ -176,6 +176,15 @@
             return NoRoute(Reason.NO_PRIMARY)
         return self._route(self._primary, reason)
 
+    def primary_route(self) -> Route | None:
+        """Return the route of a read that only the primary may serve.
+
+        :returns: The route, or ``None`` if there is no primary.
+        """
+        if self._primary not in self._members:
+            return None
+        return self._route(self._primary, Reason.NO_REPLICA)
+
     def still_valid(
         self, route: Route, max_age: int, floor: Position | None, now: Millis
     ) -> bool:
