--- a/emulator/__init__.py
+++ b/emulator/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for backend servers and the platform, load and experiments."""
+"""Simulated backend servers and platform, for tests and experiments."""
--- a/monsoonproxy/databases.py
+++ b/monsoonproxy/databases.py
@@ -52,7 +52,7 @@
 
         :returns: Whether nothing can be sent any more.
         """
-        return not self._connected or self._stream_broken
+        return not self.connected or self._stream_broken
 
     def unread(self) -> bool:
         """Tell whether rows of the last answer are still to be read.
