--- /dev/null
+++ b/emulator/__main__.py
@@ -0,0 +1,17 @@
+"""Runs the emulator: ``python -m emulator <command>``."""
+
+import cappa
+
+from emulator.commands import DatabaseCommand, PlatformCommand
+
+
+@cappa.command(name='emulator')
+class Emulator:
+    """Simulated backend servers and platform."""
+
+    # Further commands are added to this union.
+    command: cappa.Subcommands[DatabaseCommand | PlatformCommand]
+
+
+if __name__ == '__main__':
+    cappa.invoke(Emulator)
--- a/emulator/database.py
+++ b/emulator/database.py
@@ -1,16 +1,14 @@
 """A simulated backend server."""
 
 import asyncio
-import json
 import pathlib
-import signal
 
 import attrs
-import cappa
 from aiohttp import web
 from mysql_mimic.stream import MysqlStream
 
 from emulator.audit import Audit
+from emulator.control import address_of, join_address, serve
 from emulator.errors import SqlError
 from emulator.member import Member
 from emulator.replication import Follower
@@ -72,14 +70,24 @@
         self._server: asyncio.Server | None = None
         self._control: web.AppRunner | None = None
 
+    @property
+    def name(self) -> str:
+        """Return the name.
+
+        :returns: Name in its group.
+        """
+        return self._options.name
+
     @property
     def address(self) -> str:
         """Return the address of the MySQL port.
 
         :returns: ``host:port``.
+        :raises RuntimeError: If it has not been started.
         """
-        assert self._server is not None
-        return _address(self._server.sockets[0].getsockname())
+        if self._server is None:
+            raise RuntimeError('not started')
+        return join_address(self._server.sockets[0].getsockname())
 
     @property
     def control_address(self) -> str:
@@ -87,8 +95,7 @@
 
         :returns: ``host:port``.
         """
-        assert self._control is not None
-        return _address(self._control.addresses[0])
+        return address_of(self._control)
 
     async def start(self) -> None:
         """Start to listen, and take up the role it had or is given."""
@@ -99,11 +106,7 @@
         app = web.Application()
         app.router.add_get('/status', self._show)
         app.router.add_post('/switches', self._switch)
-        self._control = web.AppRunner(app, access_log=None)
-        await self._control.setup()
-        await web.TCPSite(
-            self._control, options.host, options.control_port
-        ).start()
+        self._control = await serve(app, options.host, options.control_port)
         promise = self.member.promise
         if promise.source:
             self._follower.start(promise.term, promise.source)
@@ -137,6 +140,14 @@
         connection.kill()
         await connection.ended.wait()
 
+    def switch(self, changes: dict[str, object]) -> None:
+        """Change some faults or limits.
+
+        :param changes: New values by the names of ``Switches``.
+        """
+        self.member.gate.update(changes)
+        self.member.notify()
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -175,42 +186,3 @@
         except (TypeError, ValueError) as exc:
             raise web.HTTPBadRequest(text=str(exc)) from exc
         return await self._show(request)
-
-    def switch(self, changes: dict[str, object]) -> None:
-        """Change some faults or limits.
-
-        :param changes: New values by the names of ``Switches``.
-        """
-        self.member.gate.update(changes)
-        self.member.notify()
-
-
-async def run(options: Options) -> None:
-    """Run a backend server until a signal ends it.
-
-    It prints one JSON line with its addresses once it listens.
-
-    :param options: How it starts.
-    """
-    database = Database(options)
-    await database.start()
-    print(
-        json.dumps(
-            {
-                'name': options.name,
-                'address': database.address,
-                'control': database.control_address,
-            }
-        ),
-        flush=True,
-    )
-    ended = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, ended.set)
-    await ended.wait()
-    await database.close()
-
-
-def _address(name: tuple[object, ...]) -> str:
-    return f'{name[0]}:{name[1]}'
