--- a/emulator/commands.py
+++ b/emulator/commands.py
@@ -11,11 +11,12 @@
 from emulator.control import run_until_signal
 from emulator.database import Database, Options
 from emulator.platform import Platform
-from emulator.switches import Switches
+from emulator.switches import Gate, Switches
 
 
-def _option(text: str) -> cappa.Arg:
-    return cappa.Arg(long=True, help=text)
+def _option(text: str, default: object = cappa.Empty) -> cappa.Arg:
+    # The library takes a default of 0 or '' only from here.
+    return cappa.Arg(long=True, help=text, default=default)
 
 
 @cappa.command(name='database')
@@ -25,17 +26,17 @@
 
     name: Annotated[str, _option('name in its group')]
     host: Annotated[str, _option('address to listen on')] = '127.0.0.1'
-    port: Annotated[int, _option('MySQL port, 0 for any')] = 0
-    control_port: Annotated[int, _option('control port, 0 for any')] = 0
+    port: Annotated[int, _option('MySQL port, 0 for any', 0)] = 0
+    control_port: Annotated[int, _option('control port, 0 for any', 0)] = 0
     slots: Annotated[int, _option('statements that run at once')] = 2
     state: Annotated[
         pathlib.Path | None, _option('directory that survives a restart')
     ] = None
     audit: Annotated[pathlib.Path | None, _option('audit log file')] = None
     primary: Annotated[bool, _option('start as the primary of term 1')] = False
-    source: Annotated[str, _option('primary of term 1 to follow')] = ''
+    source: Annotated[str, _option('primary of term 1 to follow', '')] = ''
     switches: Annotated[
-        str, _option('initial faults and limits, as name=value,...')
+        str, _option('initial faults and limits, as name=value,...', '')
     ] = ''
 
     def __call__(self) -> None:
@@ -56,7 +57,7 @@
     """Runs a simulated platform."""
 
     host: Annotated[str, _option('address to listen on')] = '127.0.0.1'
-    port: Annotated[int, _option('port, 0 for any')] = 0
+    port: Annotated[int, _option('port, 0 for any', 0)] = 0
 
     def __call__(self) -> None:
         """Run the platform until a signal ends it."""
@@ -67,10 +68,10 @@
 
 
 def _switches(text: str) -> Switches:
+    gate = Gate(Switches())
     pairs = [pair.partition('=') for pair in text.split(',') if pair]
-    return attrs.evolve(
-        Switches(), **{name: _number(number) for name, _, number in pairs}
-    )
+    gate.update({name: _number(number) for name, _, number in pairs})
+    return gate.switches
 
 
 def _number(text: str) -> int | float:
--- a/emulator/wire.py
+++ b/emulator/wire.py
@@ -233,7 +233,7 @@
         member = self._service.member
         numbers = statement.numbers
         if statement.verb == 'stream':
-            await self._stream(*numbers, statement.text)
+            await self._stream(numbers[0], numbers[1], statement.text)
             return
         if statement.verb == 'wait':
             await member.wait_change(*numbers)
