--- /dev/null
+++ b/emulator/cluster.py
@@ -0,0 +1,371 @@
+"""Starts a small site of processes on loopback: platform, groups, daemons."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import attrs
+
+from monsoonproxy import configuration
+from monsoonproxy.platforms import HttpPlatform
+
+_START_TIMEOUT = 20
+_STOP_TIMEOUT = 40
+_POLL_PAUSE = 0.05
+_HOST = '127.0.0.1'
+
+
+@attrs.frozen
+class Site:
+    """What to start.
+
+    :param zones: Names of the availability zones.
+    :param daemons: Number of daemons, spread over the zones.
+    :param services: Names of the services.
+    :param members: Backend servers per service.
+    :param switches: Initial switches of each backend server.
+    :param slots: Slots of each backend server.
+    :param connection_limit: Connections that each accepts.
+    :param holders: Holders per service.
+    :param service_lines: Further TOML lines of each service.
+    """
+
+    zones: tuple[str, ...] = ('sohar', 'suwaiq', 'saham')
+    daemons: int = 3
+    services: tuple[str, ...] = ('hire-ledger-1',)
+    members: int = 3
+    switches: str = 'read_ms=1,write_ms=2,open_ms=10'
+    slots: int = 2
+    connection_limit: int = 35
+    holders: int = 2
+    service_lines: str = ''
+
+
+@attrs.define
+class Process:
+    """A running process.
+
+    :param name: Name for messages.
+    :param address: Address that others use.
+    :param arguments: Its command line, for a restart.
+    :param control: Address of its control port, if it has one.
+    :param log: File with its output.
+    """
+
+    name: str
+    address: str
+    arguments: tuple[str, ...]
+    log: pathlib.Path
+    control: str = ''
+    process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the process."""
+        with self.log.open('ab') as output:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.arguments,
+                stdout=output,
+                stderr=output,
+                env=os.environ | {'MONSOONPROXY_LOGIN': 'proxy:'},
+            )
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal if the process is running.
+
+        :param number: The signal.
+        """
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        self.send_signal(signal.SIGKILL)
+        await self.wait()
+
+    async def stop(self) -> int | None:
+        """Ask the process to end and wait for it.
+
+        :returns: Its exit code.
+        """
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGTERM)
+        with contextlib.suppress(asyncio.TimeoutError):
+            await asyncio.wait_for(self.wait(), _STOP_TIMEOUT)
+        await self.kill()
+        return self.process.returncode if self.process else None
+
+    async def wait(self) -> None:
+        """Wait for the end of the process."""
+        if self.process is not None:
+            await self.process.wait()
+
+
+class Cluster:
+    """The processes of a site.
+
+    :param site: What to start.
+    :param directory: Where settings, logs and states are written.
+    """
+
+    def __init__(self, site: Site, directory: pathlib.Path) -> None:
+        self.site = site
+        self.directory = directory
+        self.platform = self._platform()
+        self.databases: dict[str, dict[str, Process]] = {
+            service: self._group(service) for service in site.services
+        }
+        self.daemons: list[Process] = [
+            self._daemon(number) for number in range(site.daemons)
+        ]
+        self.version = 0
+
+    async def start(self) -> None:
+        """Start all processes and wait until callers are served."""
+        await self.platform.start()
+        await wait_port(self.platform.address)
+        for group in self.databases.values():
+            for database in group.values():
+                await database.start()
+            for database in group.values():
+                await wait_port(database.address)
+        await self.list_hosts()
+        await self.apply()
+        for daemon in self.daemons:
+            await daemon.start()
+        for daemon in self.daemons:
+            await wait_port(daemon.address)
+
+    async def close(self) -> None:
+        """End all processes."""
+        databases = [
+            database
+            for group in self.databases.values()
+            for database in group.values()
+        ]
+        for process in (*self.daemons, *databases, self.platform):
+            await process.kill()
+
+    async def list_hosts(self, leaving: tuple[int, ...] = ()) -> None:
+        """Publish the list of hosts.
+
+        :param leaving: Numbers of the daemons that are listed as leaving.
+        """
+        hosts = [
+            {
+                'address': _peer_address(daemon),
+                'availability_zone': self._zone(number),
+                'state': 'leaving' if number in leaving else 'live',
+            }
+            for number, daemon in enumerate(self.daemons)
+        ]
+        await self.switch(self.platform.address, hosts, '/control/hosts')
+
+    async def apply(self, lines: str | None = None) -> int:
+        """Write the next configuration version to the table service.
+
+        :param lines: Further TOML lines of each service.
+        :returns: The version.
+        """
+        base = self.directory / 'base.toml'
+        base.write_text(self.toml(lines))
+        self.version += 1
+        cfg = attrs.evolve(configuration.load(str(base)), version=self.version)
+        platform = HttpPlatform(f'http://{self.platform.address}')
+        stored = await platform.read('configuration')
+        etag = stored.etag if stored else None
+        await platform.write('configuration', cfg.to_document(), etag)
+        await platform.close()
+        return self.version
+
+    def toml(self, lines: str | None = None) -> str:
+        """Return the declaration of the services.
+
+        :param lines: Further TOML lines of each service.
+        :returns: A base file.
+        """
+        site = self.site
+        parts = []
+        for service, group in self.databases.items():
+            parts.append(f'[services.{service}]')
+            parts.append("credentials = 'env:MONSOONPROXY_LOGIN'")
+            parts.append(f'slots = {site.slots}')
+            parts.append(f'connection_limit = {site.connection_limit}')
+            parts.append(f'holders = {site.holders}')
+            parts.append(site.service_lines if lines is None else lines)
+            for number, database in enumerate(group.values()):
+                zone = self._zone(number)
+                parts.append(f'[[services.{service}.members]]')
+                parts.append(f"name = '{database.name}'")
+                parts.append(f"address = '{database.address}'")
+                parts.append(f"availability_zone = '{zone}'")
+        return '\n'.join(parts)
+
+    async def switch(
+        self, address: str, changes: Any, path: str = '/switches'
+    ) -> Any:
+        """Change faults of a stand-in.
+
+        :param address: Its control address.
+        :param changes: What to change.
+        :param path: Path of the control request.
+        :returns: Its answer.
+        """
+        async with aiohttp.ClientSession() as session:
+            url = f'http://{address}{path}'
+            async with session.post(url, json=changes) as response:
+                response.raise_for_status()
+                return await response.json(content_type=None)
+
+    async def status(self, database: Process) -> dict[str, Any]:
+        """Ask a backend server for its status and counters.
+
+        :param database: The backend server.
+        :returns: Its answer.
+        """
+        async with aiohttp.ClientSession() as session:
+            url = f'http://{database.control}/status'
+            async with session.get(url) as response:
+                return await response.json()
+
+    async def primary(self, service: str) -> Process | None:
+        """Find the primary of the highest term.
+
+        :param service: The service.
+        :returns: The backend server, if there is one.
+        """
+        best: tuple[int, Process] | None = None
+        for database in self.databases[service].values():
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                status = (await self.status(database))['status']
+                term = int(status['log_term'])
+                if status['role'] == 'primary' and (not best or term > best[0]):
+                    best = (term, database)
+        return best[1] if best else None
+
+    def _zone(self, number: int) -> str:
+        return self.site.zones[number % len(self.site.zones)]
+
+    def _platform(self) -> Process:
+        port = free_port()
+        arguments = _emulator('platform', '--port', str(port))
+        return Process(
+            'platform',
+            f'{_HOST}:{port}',
+            arguments,
+            self.directory / 'platform.log',
+        )
+
+    def _group(self, service: str) -> dict[str, Process]:
+        group: dict[str, Process] = {}
+        first = ''
+        for number in range(self.site.members):
+            name = f'{service}-{number}'
+            port, control = free_port(), free_port()
+            role = ('--source', first) if first else ('--primary',)
+            first = first or f'{_HOST}:{port}'
+            arguments = _emulator(
+                'database',
+                f'--name={name}',
+                f'--port={port}',
+                f'--control-port={control}',
+                f'--slots={self.site.slots}',
+                f'--state={self.directory / name}',
+                f'--audit={self.directory / name}.jsonl',
+                f'--switches={self._switches()}',
+                *role,
+            )
+            group[name] = Process(
+                name,
+                f'{_HOST}:{port}',
+                arguments,
+                self.directory / f'{name}.log',
+                f'{_HOST}:{control}',
+            )
+        return group
+
+    def _switches(self) -> str:
+        limit = self.site.connection_limit
+        return f'{self.site.switches},connection_limit={limit}'
+
+    def _daemon(self, number: int) -> Process:
+        port, peer = free_port(), free_port()
+        name = f'daemon-{number}'
+        settings = self.directory / f'{name}.toml'
+        settings.write_text(
+            '\n'.join(
+                (
+                    f"peer_address = '{_HOST}:{peer}'",
+                    f"listen_address = '{_HOST}:{port}'",
+                    f"availability_zone = '{self._zone(number)}'",
+                    f"platform_url = 'http://{self.platform.address}'",
+                )
+            )
+        )
+        program = str(pathlib.Path(sys.executable).parent / 'monsoonproxyd')
+        return Process(
+            name,
+            f'{_HOST}:{port}',
+            (program, str(settings)),
+            self.directory / f'{name}.log',
+            f'{_HOST}:{peer}',
+        )
+
+
+@contextlib.asynccontextmanager
+async def running(
+    site: Site, directory: pathlib.Path
+) -> AsyncIterator[Cluster]:
+    """Start a site and end it afterwards.
+
+    :param site: What to start.
+    :param directory: An empty directory.
+    :yields: The running site.
+    """
+    cluster = Cluster(site, directory)
+    try:
+        await cluster.start()
+        yield cluster
+    finally:
+        await cluster.close()
+
+
+async def wait_port(address: str) -> None:
+    """Wait until a port accepts connections.
+
+    :param address: ``ip:port``.
+    """
+    host, port = address.split(':')
+    async with asyncio.timeout(_START_TIMEOUT):
+        while True:
+            try:
+                _reader, writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                await asyncio.sleep(_POLL_PAUSE)
+                continue
+            writer.close()
+            return
+
+
+def free_port() -> int:
+    """Return a port that is free now.
+
+    :returns: The port.
+    """
+    with socket.socket() as probe:
+        probe.bind((_HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+def _peer_address(daemon: Process) -> str:
+    return daemon.control
+
+
+def _emulator(*arguments: str) -> tuple[str, ...]:
+    return (sys.executable, '-m', 'emulator', *arguments)
--- a/monsoonproxy/claims.py
+++ b/monsoonproxy/claims.py
@@ -42,17 +42,22 @@
         key = f'terms/{service}'
         body = json.dumps({'term': term, 'candidate': self.candidate})
         try:
-            stored = await self._platform.read(key)
-            found = _parse(stored)
-            if found.term >= term and found.candidate != self.candidate:
-                return signals.ClaimRefused(found.term)
-            etag = stored.etag if stored else None
-            await self._platform.write(key, body.encode(), etag)
+            refused = await self._try_claim(key, term, body.encode())
         except PreconditionError:
             return await self._lost_race(key, term)
         except PlatformError:
             return signals.ClaimFailed()
-        return signals.TermClaimed(term)
+        return refused or signals.TermClaimed(term)
+
+    async def _try_claim(
+        self, key: str, term: int, body: bytes
+    ) -> signals.ClaimRefused | None:
+        stored = await self._platform.read(key)
+        found = _parse(stored)
+        if found.term >= term and found.candidate != self.candidate:
+            return signals.ClaimRefused(found.term)
+        await self._platform.write(key, body, stored.etag if stored else None)
+        return None
 
     async def _lost_race(self, key: str, term: int) -> signals.ClaimEnd:
         try:
--- /dev/null
+++ b/monsoonproxy/control.py
@@ -0,0 +1,237 @@
+"""Control task of a daemon: membership and configuration."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from monsoonproxy import membership, messages, spread
+from monsoonproxy.adapters import PlatformAdapter
+from monsoonproxy.clock import Clock, Millis, seconds
+from monsoonproxy.configuration import Configuration
+from monsoonproxy.exceptions import ConfigurationError, PlatformError
+from monsoonproxy.links import Links
+from monsoonproxy.logs import log_for
+from monsoonproxy.models import Host, HostState
+from monsoonproxy.settings import Settings
+
+_log = log_for('control')
+
+#: Key of the configuration in the table service.
+CONFIGURATION_KEY = 'configuration'
+_TICK = 50
+
+
+class Control:
+    """Owns the highest configuration version and the list of hosts.
+
+    :param settings: The daemon's settings.
+    :param links: Connections to peers.
+    :param platform: Adapter of the platform.
+    :param clock: Source of time.
+    :param rng: Source of random choices.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        links: Links,
+        platform: PlatformAdapter,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.own = Host(settings.peer_address, settings.availability_zone)
+        self.cfg = Configuration()
+        self.on_configuration: Callable[[Configuration], None] = _ignore
+        self.on_hosts: Callable[[tuple[Host, ...]], None] = _ignore
+        self._seeds = settings.seed_peers
+        self._links = links
+        self._platform = platform
+        self._clock = clock
+        self._rng = rng
+        rules = self.cfg.platform
+        self._membership = membership.Membership(self.own, rules.membership)
+        self._spread = spread.Spread(self.own.address, rules.spread, rng)
+        self._hosts_due = Millis(0)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._reading = False
+        self.store_reads = 0
+
+    @property
+    def version(self) -> int:
+        """Return the version in force."""
+        return self.cfg.version
+
+    def hosts(self) -> tuple[Host, ...]:
+        """Return the usable hosts.
+
+        :returns: The hosts.
+        """
+        return self._membership.usable(self._clock.now())
+
+    async def run(self) -> None:
+        """Run the decisions until cancelled."""
+        for seed in self._seeds:
+            self._spawn(self._announce(seed, 0))
+        while True:
+            now = self._clock.now()
+            self._membership.handle(membership.Tick(), now)
+            for address in self._membership.probes(now):
+                self._spawn(self._announce(address, self.version))
+            if self._membership.changed:
+                self._hosts_changed()
+            self._handle(spread.Tick())
+            if now >= self._hosts_due:
+                self._hosts_due = Millis(now + self.cfg.platform.hosts_interval)
+                self._spawn(self._read_hosts())
+            await asyncio.sleep(seconds(_TICK))
+
+    def receive(self, peer: str, message: messages.Message) -> None:
+        """Take a message of a peer.
+
+        :param peer: Address of the peer.
+        :param message: The message.
+        """
+        now = self._clock.now()
+        if isinstance(message, messages.Goodbye):
+            self._membership.handle(
+                membership.SaidGoodbye(message.address), now
+            )
+            return
+        announced = isinstance(message, messages.Announce)
+        zone = _zone_of(peer, message) if announced else ''
+        heard = membership.HeardFrom(peer, zone, announced=announced)
+        self._membership.handle(heard, now)
+        if isinstance(message, messages.Announce):
+            listed = tuple(
+                Host(address, host_zone, HostState(state))
+                for address, host_zone, state in message.hosts
+                if address != self.own.address
+            )
+            self._membership.handle(membership.HostsReported(listed), now)
+            self._handle(spread.VersionSeen(message.version, peer))
+        elif isinstance(message, messages.FetchConfiguration):
+            self._handle(spread.FetchRequested(message.version, peer))
+        elif isinstance(message, messages.ConfigurationDocument):
+            self._handle(
+                spread.DocumentReceived(message.version, message.document)
+            )
+
+    def peer_lost(self, peer: str) -> None:
+        """Take in that the connection to a peer broke.
+
+        :param peer: Address of the peer.
+        """
+        self._membership.handle(membership.SendFailed(peer), self._clock.now())
+
+    def read_store(self) -> None:
+        """Read the configuration from the store now."""
+        self._spawn(self._read_configuration())
+
+    async def say_goodbye(self) -> None:
+        """Tell all peers that this daemon takes no new requests."""
+        message = messages.Goodbye(self.own.address)
+        await asyncio.gather(
+            *(
+                self._links.try_send(host.address, message)
+                for host in self.hosts()
+                if host.address != self.own.address
+            )
+        )
+
+    def _hosts_changed(self) -> None:
+        hosts = self.hosts()
+        self._handle(spread.PeersChanged(hosts))
+        self.on_hosts(hosts)
+
+    def _handle(self, event: spread.Event) -> None:
+        for command in self._spread.handle(event, self._clock.now()):
+            self._run(command)
+
+    def _run(self, command: spread.Command) -> None:
+        if isinstance(command, spread.SendAnnounce):
+            self._spawn(self._announce(command.peer, command.version))
+        elif isinstance(command, spread.FetchFrom):
+            message: messages.Message = messages.FetchConfiguration(
+                command.version
+            )
+            self._spawn(self._send(command.peer, message))
+        elif isinstance(command, spread.SendDocument):
+            message = messages.ConfigurationDocument(
+                command.version, command.document
+            )
+            self._spawn(self._send(command.peer, message))
+        elif isinstance(command, spread.ReadStore):
+            self.read_store()
+        else:
+            self._put_in_force(command.document)
+
+    def _put_in_force(self, document: bytes) -> None:
+        try:
+            cfg = Configuration.from_document(document)
+        except ConfigurationError as exc:
+            _log.error('An accepted configuration can not be used: {}', exc)
+            return
+        self.cfg = cfg
+        _log.info('Configuration version {} is in force', cfg.version)
+        self.on_configuration(cfg)
+
+    async def _announce(self, peer: str, version: int) -> None:
+        own = (self.own.address, self.own.availability_zone, 'live')
+        await self._send(peer, messages.Announce(version, [own]))
+
+    async def _send(self, peer: str, message: messages.Message) -> None:
+        sent_at = self._clock.now()
+        if not await self._links.try_send(peer, message):
+            self._membership.handle(
+                membership.SendFailed(peer, sent_at), self._clock.now()
+            )
+
+    async def _read_hosts(self) -> None:
+        self.store_reads += 1
+        try:
+            hosts = await self._platform.hosts()
+        except PlatformError as exc:
+            _log.warning('The host list can not be read: {}', exc)
+            return
+        self._membership.handle(
+            membership.HostsListed(tuple(hosts)), self._clock.now()
+        )
+
+    async def _read_configuration(self) -> None:
+        if self._reading:
+            return
+        self._reading = True
+        self.store_reads += 1
+        try:
+            stored = await self._platform.read(CONFIGURATION_KEY)
+        except PlatformError as exc:
+            _log.warning('The configuration can not be read: {}', exc)
+            self._handle(spread.StoreFailed())
+            return
+        finally:
+            self._reading = False
+        if stored is None:
+            self._handle(spread.StoreRead(0))
+            return
+        try:
+            cfg = Configuration.from_document(stored.body)
+        except ConfigurationError as exc:
+            _log.error('The stored configuration is not valid: {}', exc)
+            return
+        self._handle(spread.StoreRead(cfg.version, stored.body))
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _zone_of(peer: str, message: messages.Message) -> str:
+    hosts = getattr(message, 'hosts', [])
+    return next(
+        (zone for address, zone, _state in hosts if address == peer), ''
+    )
+
+
+def _ignore(_value: object) -> None:
+    """Take a value before anyone else does."""
--- /dev/null
+++ b/monsoonproxy/daemon.py
@@ -0,0 +1,187 @@
+"""The daemon ``monsoonproxyd``."""
+
+import asyncio
+import json
+import random
+import secrets
+import signal
+import sys
+from typing import Annotated
+
+import attrs
+import cappa
+import uvloop
+
+from monsoonproxy import adapters, databases, platforms
+from monsoonproxy.claims import TermClaims
+from monsoonproxy.clock import Clock, seconds
+from monsoonproxy.configuration import Configuration
+from monsoonproxy.control import Control
+from monsoonproxy.dispatch import Dispatch
+from monsoonproxy.entry import Entry
+from monsoonproxy.exceptions import MonsoonError
+from monsoonproxy.frontends import Frontend
+from monsoonproxy.groups import candidate_name
+from monsoonproxy.hosting import Hosting
+from monsoonproxy.links import Links
+from monsoonproxy.logs import configure, log_for
+from monsoonproxy.metrics import Metrics
+from monsoonproxy.models import Host
+from monsoonproxy.peers import Listener
+from monsoonproxy.settings import Settings, load_settings
+from monsoonproxy.supervisors import Supervisor
+from monsoonproxy.tokens import Key, Signer
+
+_log = log_for('daemon')
+
+#: Importing these modules fills the registries of adapters.
+ADAPTER_MODULES = (databases, platforms)
+_DRAIN_INTERVAL = 20
+
+
+class Daemon:
+    """Wires the parts of a daemon and runs their supervisor tree.
+
+    The tree: ``daemon`` owns ``listener``, ``control``, ``senders`` and the
+    supervisors ``links`` (one task per peer) and ``services`` (two tasks per
+    held service).
+
+    :param settings: The daemon's settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        clock = Clock()
+        rng = random.Random(secrets.randbits(64))
+        own = settings.peer_address
+        self.settings = settings
+        self._clock = clock
+        self._root = Supervisor('daemon', clock)
+        self._link_tasks = Supervisor('links', clock)
+        self._service_tasks = Supervisor('services', clock)
+        candidate = candidate_name(own, rng)
+        platform = adapters.platforms.get(settings.platform)(
+            settings.platform_url
+        )
+        self._platform = platform
+        self._links = Links(
+            own,
+            candidate.encode(),
+            self._link_tasks,
+            handler=lambda peer, reply: self._dispatch.reply(peer, reply),
+            lost=lambda peer: self._dispatch.lost(peer),
+            keys=None,
+        )
+        self.control = Control(settings, self._links, platform, clock, rng)
+        claims = TermClaims(platform, candidate)
+        self.hosting = Hosting(own, claims, self._service_tasks, clock, rng)
+        self.metrics = Metrics(clock)
+        self.entry = Entry(
+            self._links, self.hosting.holders_of, self.metrics.record, clock
+        )
+        self._dispatch = Dispatch(
+            own, self.entry, self.hosting, self.control, self._status
+        )
+        self._links.local = self._dispatch.local
+        self._listener = Listener(own, self._dispatch.request, None)
+        self._dispatch.listener = self._listener
+        self.frontend = Frontend(self.entry, Signer(_token_keys(settings)))
+        self.control.on_configuration = self._configured
+        self.control.on_hosts = self._hosts_changed
+        self._stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then shut down gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        root = self._root
+        root.start_child('links', self._link_tasks.run)
+        root.start_child('services', self._service_tasks.run)
+        root.start_child('listener', self._listener.run)
+        root.start_child('control', self.control.run)
+        root.start_child('senders', self._dispatch.watch_senders)
+        host, port = self.settings.listen_address.rsplit(':', 1)
+        await self.frontend.start(host, int(port))
+        _log.info('Accepting callers on {}', self.settings.listen_address)
+        running = asyncio.create_task(root.run())
+        stopping = asyncio.create_task(self._stopping.wait())
+        await asyncio.wait(
+            {running, stopping}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not running.done():
+            await self._shut_down()
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        await self._platform.close()
+
+    async def _shut_down(self) -> None:
+        """Finish requests in flight before the tasks are stopped."""
+        _log.info('Shutting down')
+        self.frontend.stop_accepting()
+        await self.control.say_goodbye()
+        limit = self.control.cfg.platform.shutdown_timeout
+        try:
+            async with asyncio.timeout(seconds(limit)):
+                await self.frontend.drain()
+                await self._finish_requests()
+                await self.hosting.stop()
+        except TimeoutError:
+            _log.warning('The shutdown ended with requests in flight')
+        _log.info('Shut down')
+
+    async def _finish_requests(self) -> None:
+        """Wait until no peer uses this daemon's holders any more."""
+        while any(holder.open_requests() for holder in self.hosting.all()):
+            await asyncio.sleep(seconds(_DRAIN_INTERVAL))
+
+    def _configured(self, cfg: Configuration) -> None:
+        self.entry.configure(cfg)
+        self.hosting.configure(cfg)
+
+    def _hosts_changed(self, hosts: tuple[Host, ...]) -> None:
+        self.hosting.place(hosts)
+
+    def _status(self) -> bytes:
+        status = {
+            'address': self.settings.peer_address,
+            'availability_zone': self.settings.availability_zone,
+            'configuration_version': self.control.version,
+            'hosts': [host.address for host in self.control.hosts()],
+            'connected': sorted(self._links.connected()),
+            'open_requests': self.entry.open_requests(),
+            'stale_replies': self.entry.stale_replies,
+            'store_reads': self.control.store_reads,
+            'outcomes': self.metrics.counters(),
+            'services': [holder.status() for holder in self.hosting.all()],
+        }
+        return json.dumps(status, default=str).encode()
+
+
+def _token_keys(settings: Settings) -> list[Key]:
+    return [Key('k1', b'demo')]
+
+
+@cappa.command(name='monsoonproxyd')
+@attrs.define
+class Arguments:
+    """Run a daemon of monsoonproxy."""
+
+    settings: Annotated[str, cappa.Arg(help='Settings file, TOML.')]
+
+
+def main() -> None:
+    """Run the daemon with the settings file named on the command line."""
+    arguments = cappa.parse(Arguments)
+    try:
+        settings = load_settings(arguments.settings)
+        configure(
+            level=settings.log_level,
+            structured=settings.log_format == 'json',
+        )
+        uvloop.run(_serve(settings))
+    except MonsoonError as exc:
+        sys.exit(f'monsoonproxyd: {exc}')
+
+
+async def _serve(settings: Settings) -> None:
+    await Daemon(settings).run()
--- a/monsoonproxy/entry.py
+++ b/monsoonproxy/entry.py
@@ -10,9 +10,9 @@
 
 from monsoonproxy import messages
 from monsoonproxy.clock import Clock, Millis, seconds
-from monsoonproxy.configuration import Configuration, Service
-from monsoonproxy.exceptions import PeerError
-from monsoonproxy.logs import log_for
+from monsoonproxy.configuration import Configuration
+from monsoonproxy.declarations import Service
+from monsoonproxy.links import Links
 from monsoonproxy.models import Outcome, StatementKind
 from monsoonproxy.sessions import Session
 from monsoonproxy.statements import Statement
@@ -22,34 +22,24 @@
 #: Records how a request of a service and class ended.
 OutcomeRecorder: TypeAlias = Callable[[str, str, Outcome, Millis], None]
 
-_log = log_for('entry')
-
 #: Time in ms that the holder gets beyond the deadline to send its refusal.
 _REPLY_GRACE = 1_000
-#: Row messages that a holder may send ahead of the caller.
-CREDIT_WINDOW = 8
 #: Time in ms after which a caller may come back when no holder is reachable.
 _NO_HOLDER_RETRY = 500
+#: Reason of a daemon that does not hold the service; another one may.
+NOT_HELD = 'this daemon does not hold the service'
 #: Rounds over the holders before a request is refused.
 _MOST_ATTEMPTS = 4
 
 
-class Links:
-    """What the entry side needs of the sockets to peers."""
-
-    async def send(self, address: str, message: messages.Message) -> None:
-        """Send a message over an established connection.
-
-        :param address: The peer.
-        :param message: The message.
-        :raises PeerError: If it was not sent and never will be.
-        """
-        raise NotImplementedError
-
-
 @attrs.frozen
 class _Lost:
-    """The connection to the holder of an open request broke."""
+    """A holder will not answer an open request.
+
+    :param ran: Whether the request may have run.
+    """
+
+    ran: bool = True
 
 
 @attrs.define
@@ -60,6 +50,46 @@
     replies: asyncio.Queue[messages.Reply | _Lost]
     row_messages: int = 0
 
+    def check(self, reply: messages.Reply | _Lost) -> messages.Reply | _Lost:
+        """Treat an answer that misses rows as lost.
+
+        :param reply: The next reply.
+        :returns: The reply, or that the answer is lost.
+        """
+        if isinstance(reply, messages.Refusal) and reply.reason == NOT_HELD:
+            return _Lost(ran=False)
+        if isinstance(reply, messages.ResultRows):
+            self.row_messages += 1
+            if reply.sequence != self.row_messages - 1:
+                return _Lost()
+        if isinstance(reply, messages.ResultEnd):
+            if reply.row_messages != self.row_messages:
+                return _Lost()
+        return reply
+
+
+@attrs.define
+class _Attempt:
+    """What one holder has answered.
+
+    :param lost: Set if the holder did not finish its answer.
+    :param started: Whether the caller has a part of the answer.
+    """
+
+    lost: _Lost | None = None
+    started: bool = False
+
+    def is_over(self, req: messages.StatementRequest, *, pinned: bool) -> bool:
+        """Tell whether a lost attempt rules out another one.
+
+        :param req: The request.
+        :param pinned: Whether it belongs to an open transaction.
+        :returns: Whether the outcome has to stay unknown.
+        """
+        if self.lost is not None and not self.lost.ran:
+            return False
+        return self.started or pinned or not _may_repeat(req)
+
 
 class Entry:
     """Executes statements of caller sessions.
@@ -98,9 +128,10 @@
         """Tell whether a service is declared.
 
         :param service: Name of the service.
-        :returns: Whether callers may use it.
+        :returns: Whether callers may use it. Everything counts as declared
+            while there is no configuration; statements are refused then.
         """
-        return self._cfg is not None and service in self._cfg.services
+        return self._cfg is None or service in self._cfg.services
 
     def open_requests(self) -> int:
         """Return the number of requests in flight.
@@ -109,7 +140,7 @@
         """
         return len(self._open)
 
-    def deliver(self, address: str, reply: messages.AnyMessage) -> None:
+    def deliver(self, address: str, reply: messages.Message) -> None:
         """Hand a holder's reply to the request that waits for it.
 
         :param address: Address of the holder.
@@ -138,7 +169,9 @@
         """
         address = self._pinned.pop(session.number, None)
         if address is not None:
-            await self._try_send(address, messages.SessionEnd(session.number))
+            await self._links.try_send(
+                address, messages.SessionEnd(session.number)
+            )
 
     async def execute(
         self, session: Session, statement: Statement
@@ -151,48 +184,61 @@
         """
         arrived = self._clock.now()
         service = self._service(session)
-        needs_begin = (
-            not session.autocommit
-            and not session.in_transaction
-            and statement.kind in {StatementKind.READ, StatementKind.WRITE}
-        )
-        if needs_begin:
-            begin = self._request(service, session, statement, arrived)
-            begin = replace(begin, sql=b'BEGIN', kind=StatementKind.BEGIN.value)
-            refused = await self._begin(service, session, begin)
-            if refused is not None:
-                yield refused
-                return
-        req = self._request(service, session, statement, arrived)
+        if service is None:
+            reason = 'no configuration is known yet'
+            yield messages.Refusal(0, reason, _NO_HOLDER_RETRY)
+            return
+        req = self._request(service, session, statement)
+        replies = self._attempts(service, req, arrived)
+        if self._needs_begin(session, statement):
+            replies = self._begin_first(service, req, arrived)
         final: messages.Reply | None = None
-        async for reply in self._attempts(service, session, req, arrived):
+        async for reply in replies:
             final = reply
             yield reply
-        self._count(service, req, final, arrived)
+        self._count(req, final, arrived)
+
+    def cancel(self, session: Session) -> None:
+        """Take in that a caller has gone in the middle of an answer.
+
+        The running attempt tells the holder when its iterator is closed.
+
+        :param session: The session.
+        """
+
+    def _needs_begin(self, session: Session, statement: Statement) -> bool:
+        """Tell whether a statement opens a transaction without ``BEGIN``."""
+        return (
+            not session.autocommit
+            and session.number not in self._pinned
+            and statement.kind in {StatementKind.READ, StatementKind.WRITE}
+        )
 
-    async def _begin(
+    async def _begin_first(
         self,
         service: Service,
-        session: Session,
-        begin: messages.StatementRequest,
-    ) -> messages.Reply | None:
-        now = self._clock.now()
-        async for reply in self._attempts(service, session, begin, now):
+        req: messages.StatementRequest,
+        arrived: Millis,
+    ) -> AsyncIterator[messages.Reply]:
+        """Open a transaction, then run its first statement."""
+        begin = replace(req, sql=b'BEGIN', kind=StatementKind.BEGIN.value)
+        async for reply in self._attempts(service, begin, arrived):
             if not isinstance(reply, messages.ResultEnd):
-                return reply
-        session.in_transaction = True
-        return None
+                yield reply
+                return
+        async for answer in self._attempts(service, req, arrived):
+            yield answer
 
-    def _service(self, session: Session) -> Service:
-        assert self._cfg is not None
-        return self._cfg.services[session.service]
+    def _service(self, session: Session) -> Service | None:
+        if self._cfg is None:
+            return None
+        return self._cfg.services.get(session.service)
 
     def _request(
         self,
         service: Service,
         session: Session,
         statement: Statement,
-        arrived: Millis,
     ) -> messages.StatementRequest:
         marks = statement.marks
         is_read = statement.kind is StatementKind.READ
@@ -200,7 +246,7 @@
         request_class = marks.request_class or default_class
         max_age = marks.max_age
         if max_age is None:
-            max_age = service.freshness.get(request_class, 0)
+            max_age = service.rule(request_class).max_age
         repeatable = marks.repeatable
         floor = session.floor
         return messages.StatementRequest(
@@ -220,7 +266,6 @@
     async def _attempts(
         self,
         service: Service,
-        session: Session,
         req: messages.StatementRequest,
         arrived: Millis,
     ) -> AsyncIterator[messages.Reply]:
@@ -229,55 +274,51 @@
         for attempt in range(_MOST_ATTEMPTS):
             remaining = deadline - self._clock.now()
             req = replace(req, request=next(self._numbers), remaining=remaining)
-            address = await self._send_to_holder(service, session, req, attempt)
+            address = await self._send_to_holder(service, req, attempt)
             if address is None or remaining <= 0:
-                self._open.pop(req.request, None)
-                yield self._no_holder(session, req)
-                return
-            begun = False
-            lost = False
-            async for reply in self._replies(req, address):
-                if isinstance(reply, _Lost):
-                    lost = True
-                    break
-                begun = True
-                self._track(session, address, reply)
+                break
+            progress = _Attempt()
+            async for reply in self._attempt(req, address, progress):
                 yield reply
-            if not lost:
+            if progress.lost is None:
                 return
-            self._pinned.pop(session.number, None)
-            if begun or session.in_transaction or not _may_repeat(req):
-                session.in_transaction = False
-                yield messages.Unknown(
-                    req.request, 'the connection to the holder broke'
-                )
+            pinned = self._pinned.pop(req.session, None)
+            if progress.is_over(req, pinned=pinned is not None):
+                yield messages.Unknown(req.request, 'the holder was lost')
                 return
-        yield self._no_holder(session, req)
+        yield self._no_holder(req)
+
+    async def _attempt(
+        self, req: messages.StatementRequest, address: str, progress: _Attempt
+    ) -> AsyncIterator[messages.Reply]:
+        async for reply in self._replies(req, address):
+            if isinstance(reply, _Lost):
+                progress.lost = reply
+            else:
+                progress.started = True
+                yield reply
 
     async def _send_to_holder(
-        self,
-        service: Service,
-        session: Session,
-        req: messages.StatementRequest,
-        attempt: int,
+        self, service: Service, req: messages.StatementRequest, attempt: int
     ) -> str | None:
         """Send a request to the first holder that can be reached."""
-        pinned = self._pinned.get(session.number)
-        addresses = (pinned,) if pinned else self._holders_of(service)
-        start = attempt % len(addresses) if addresses else 0
-        for address in addresses[start:] + addresses[:start]:
+        for address in self._addresses(service, req.session, attempt):
             self._open[req.request] = _OpenRequest(address, asyncio.Queue())
-            if await self._try_send(address, req):
+            if await self._links.try_send(address, req):
                 return address
         self._open.pop(req.request, None)
         return None
 
-    async def _try_send(self, address: str, message: messages.Message) -> bool:
-        try:
-            await self._links.send(address, message)
-        except PeerError:
-            return False
-        return True
+    def _addresses(
+        self, service: Service, session: int, attempt: int
+    ) -> tuple[str, ...]:
+        """Return the holders in the order in which to try them."""
+        pinned = self._pinned.get(session)
+        if pinned:
+            return (pinned,)
+        addresses = self._holders_of(service)
+        start = attempt % max(1, len(addresses))
+        return addresses[start:] + addresses[:start]
 
     async def _replies(
         self, req: messages.StatementRequest, address: str
@@ -289,40 +330,38 @@
         try:
             while not finished:
                 reply = await asyncio.wait_for(waiting.replies.get(), limit)
-                if isinstance(reply, messages.ResultRows):
-                    if reply.sequence != waiting.row_messages:
-                        yield _Lost()
-                        return
-                    waiting.row_messages += 1
-                    await self._try_send(
-                        address, messages.Credit(req.request, 1)
-                    )
+                reply = waiting.check(reply)
                 finished = _is_final(reply)
-                yield _checked(reply, waiting)
+                await self._note(req, address, reply)
+                yield reply
         except asyncio.TimeoutError:
             yield messages.Unknown(req.request, 'no answer before the deadline')
         finally:
             self._open.pop(req.request, None)
             if not finished:
-                await self._try_send(address, messages.Cancel(req.request))
+                await self._links.try_send(
+                    address, messages.Cancel(req.request)
+                )
 
-    def _track(
+    async def _note(
         self,
-        session: Session,
+        req: messages.StatementRequest,
         address: str,
-        reply: messages.Reply,
+        reply: messages.Reply | _Lost,
     ) -> None:
+        """Allow further rows; note which holder has the transaction."""
+        if isinstance(reply, messages.ResultRows):
+            credit = messages.Credit(req.request, 1)
+            await self._links.try_send(address, credit)
         if not _is_final(reply):
             return
         if getattr(reply, 'in_transaction', False):
-            self._pinned[session.number] = address
-        else:
-            self._pinned.pop(session.number, None)
-
-    def _no_holder(
-        self, session: Session, req: messages.StatementRequest
-    ) -> messages.Reply:
-        lost_transaction = self._pinned.pop(session.number, None) is not None
+            self._pinned[req.session] = address
+        elif not isinstance(reply, _Lost):
+            self._pinned.pop(req.session, None)
+
+    def _no_holder(self, req: messages.StatementRequest) -> messages.Reply:
+        lost_transaction = self._pinned.pop(req.session, None) is not None
         reason = 'no holder of the service can be reached'
         if lost_transaction:
             reason = 'the transaction was rolled back because its holder left'
@@ -330,7 +369,6 @@
 
     def _count(
         self,
-        service: Service,
         req: messages.StatementRequest,
         final: messages.Reply | None,
         arrived: Millis,
@@ -339,7 +377,7 @@
             return
         outcome = _OUTCOMES.get(type(final), Outcome.UNKNOWN)
         took = Millis(self._clock.now() - arrived)
-        self._record(service.name, req.request_class, outcome, took)
+        self._record(req.service, req.request_class, outcome, took)
 
 
 _OUTCOMES = {
@@ -361,17 +399,5 @@
     return req.repeatable or req.request_id is not None
 
 
-def _is_final(reply: messages.Reply) -> bool:
-    return not isinstance(
-        reply, (messages.ResultHeader, messages.ResultRows, _Lost)
-    )
-
-
-def _checked(
-    reply: messages.Reply | _Lost, waiting: _OpenRequest
-) -> messages.Reply | _Lost:
-    """Treat an answer that misses rows as lost."""
-    if isinstance(reply, messages.ResultEnd):
-        if reply.row_messages != waiting.row_messages:
-            return _Lost()
-    return reply
+def _is_final(reply: messages.Reply | _Lost) -> bool:
+    return not isinstance(reply, (messages.ResultHeader, messages.ResultRows))
--- a/monsoonproxy/executions.py
+++ b/monsoonproxy/executions.py
@@ -6,7 +6,7 @@
 import attrs
 
 from monsoonproxy import messages, records
-from monsoonproxy.adapters import Answer
+from monsoonproxy.adapters import Answer, BackendConnection
 from monsoonproxy.backends import Backend, Lease
 from monsoonproxy.calls import Call
 from monsoonproxy.clock import Clock
@@ -16,7 +16,7 @@
     TermChangedError,
 )
 from monsoonproxy.groups import Group
-from monsoonproxy.models import Position, StatementKind
+from monsoonproxy.models import StatementKind
 from monsoonproxy.routing import Route
 
 #: Bytes of an answer that are kept back until its freshness is checked.
@@ -32,6 +32,9 @@
 class StaleAnswerError(Exception):
     """An answer is older than its bound; nothing of it was sent."""
 
+    def __init__(self) -> None:
+        super().__init__('the answer was older than allowed')
+
 
 @attrs.define
 class Transaction:
@@ -166,6 +169,20 @@
             return
         await self._end_recorded(call, found)
 
+    async def resolve_or_unknown(
+        self, call: Call, broken: Lease, reason: str
+    ) -> None:
+        """Answer a commit whose connection broke.
+
+        :param call: The request.
+        :param broken: The lease of the transaction.
+        :param reason: What happened.
+        """
+        if call.req.request_id is None:
+            await call.unknown(reason)
+        else:
+            await self.resolve(call, broken)
+
     async def commit(self, call: Call, tx: Transaction) -> None:
         """Commit a caller's transaction.
 
@@ -274,24 +291,21 @@
         assert request_id is not None
         records.check_id(request_id)
         backend = self._group.backends[server]
-        lease: Lease | None = None
-        try:
-            async with self._leased(backend, call) as lease:
-                sent_at = self._clock.now()
+        async with self._leased(backend, call) as lease:
+            sent_at = self._clock.now()
+            answer: Answer | None = Answer()
+            broken: Lease | None = lease
+            with contextlib.suppress(ConnectionLostError, TermChangedError):
                 answer = await self._run_recorded(call, lease, request_id)
                 lease.clean = True
-        except (ConnectionLostError, TermChangedError) as exc:
-            if lease is None or not getattr(exc, 'sent', True):
-                raise
-            await self.resolve(call, lease)
-            return
+                broken = None
         if answer is None:
             return
         if answer.position:
             self._group.committed_at(server, answer.position, sent_at)
             await self.finish_write(call, server, answer)
             return
-        await self.resolve(call)
+        await self.resolve(call, broken)
 
     async def _run_recorded(
         self, call: Call, lease: Lease, request_id: str
@@ -301,17 +315,7 @@
         An answer without a position means that the request ran before.
         """
         conn = lease.conn
-        await conn.query(b'BEGIN')
-        try:
-            fresh = await records.insert(conn, request_id)
-        except BackendError as exc:
-            if not records.is_missing_table(exc):
-                raise
-            await conn.query(b'ROLLBACK')
-            await records.create_table(conn)
-            await conn.query(b'BEGIN')
-            fresh = await records.insert(conn, request_id)
-        if not fresh:
+        if not await self._begin_recorded(conn, request_id):
             await conn.query(b'ROLLBACK')
             return Answer()
         answer = await self._query(call, lease)
@@ -322,6 +326,24 @@
         done = await conn.query(b'COMMIT')
         return attrs.evolve(answer, position=done.position)
 
+    async def _begin_recorded(
+        self, conn: BackendConnection, request_id: str
+    ) -> bool:
+        """Open a transaction with the record of a request.
+
+        :returns: ``False`` if the request ran before.
+        """
+        await conn.query(b'BEGIN')
+        try:
+            return await records.insert(conn, request_id)
+        except BackendError as exc:
+            if not records.is_missing_table(exc):
+                raise
+        await conn.query(b'ROLLBACK')
+        await records.create_table(conn)
+        await conn.query(b'BEGIN')
+        return await records.insert(conn, request_id)
+
     async def _look_up(
         self, call: Call, broken: Lease | None
     ) -> records.Recorded | None:
--- a/monsoonproxy/groups.py
+++ b/monsoonproxy/groups.py
@@ -27,7 +27,6 @@
     :param backends: Backend servers by name.
     :param claim: Claims terms in the table service.
     :param failover: The failover's state machine.
-    :param changed: Called after each report.
     :param clock: Source of time.
     """
 
@@ -37,7 +36,6 @@
         backends: Mapping[str, Backend],
         claim: claims.TermClaims,
         failover: Failover,
-        changed: Callable[[], None],
         clock: Clock,
     ) -> None:
         self.service = service
@@ -46,7 +44,8 @@
         self.router = Router(backends, RoutingRules())
         self._claim = claim
         self._clock = clock
-        self._on_change = changed
+        #: Called after each report.
+        self.on_change: Callable[[], None] = lambda: None
         self._changed = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         #: Latest position of the primary and when it was asked for.
@@ -74,6 +73,19 @@
             for task in self._tasks:
                 task.cancel()
 
+    def set_leaving(self, name: str) -> None:
+        """Give a backend server no new work.
+
+        :param name: Its name.
+        """
+        self.router.set_leaving(name)
+        self.handle(signals.SwitchRequested(name))
+
+    async def close(self) -> None:
+        """Close the connections to all backend servers."""
+        for backend in self.backends.values():
+            await backend.close()
+
     def handle(self, event: signals.Event) -> None:
         """Pass an event to the failover and run its commands.
 
@@ -201,9 +213,10 @@
         self._notify()
 
     def _notify(self) -> None:
-        changed, self._changed = self._changed, asyncio.Event()
+        changed = self._changed
+        self._changed = asyncio.Event()
         changed.set()
-        self._on_change()
+        self.on_change()
 
     async def _tick(self) -> None:
         while True:
@@ -237,16 +250,21 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _step(self, command: signals.Command) -> None:
+        """Run one step of a failover and report how it ended."""
         if isinstance(command, signals.ClaimTerm):
             _log.info('{}: Claiming term {}', self.service, command.term)
-            event = await self._claim.claim(self.service, command.term)
+            event: signals.Event = await self._claim.claim(
+                self.service, command.term
+            )
         elif isinstance(command, signals.SetTerm):
             event = await self._set_term(command)
         elif isinstance(command, signals.Promote):
             _log.info('{}: Promoting {}', self.service, command.name)
             event = await self._promote(command)
-        else:
+        elif isinstance(command, signals.Follow):
             event = await self._follow(command)
+        else:
+            return
         self.handle(event)
         self._notify()
 
@@ -286,4 +304,5 @@
     :param rng: Source of the random part.
     :returns: A name that a restarted daemon does not use again.
     """
-    return f'{address}/{rng.getrandbits(64):016x}'
+    incarnation = hex(rng.getrandbits(64))
+    return f'{address}/{incarnation}'
--- a/monsoonproxy/holders.py
+++ b/monsoonproxy/holders.py
@@ -9,7 +9,7 @@
 import attrs
 from msgspec.structs import replace
 
-from monsoonproxy import admission, executions, messages, queues, retries
+from monsoonproxy import admission, messages, queues, retries
 from monsoonproxy.calls import Call, Send
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.declarations import Service
@@ -20,11 +20,12 @@
     PeerError,
     TermChangedError,
 )
-from monsoonproxy.executions import RETRY_AFTER, Executor, Transaction
+from monsoonproxy.executions import RETRY_AFTER, Executor, StaleAnswerError
 from monsoonproxy.groups import Group
 from monsoonproxy.logs import log_for
 from monsoonproxy.models import StatementKind
 from monsoonproxy.routing import Load, ReadRequest, Route, WaitFor
+from monsoonproxy.transactions import Transactions
 
 _log = log_for('holder')
 
@@ -32,16 +33,16 @@
 _SQLSTATE = 'HY000'
 #: Time in ms between two looks at deadlines and entry sides that have gone.
 _SWEEP_INTERVAL = 20
+_RETRIED = (ConnectionLostError, StaleAnswerError, TermChangedError)
 _ENDS = frozenset((StatementKind.COMMIT, StatementKind.ROLLBACK))
 
 
 @attrs.define
 class _Running:
-    """The tasks and transactions of a holder."""
+    """The calls of a holder and their tasks."""
 
     calls: dict[tuple[bytes, int], Call] = attrs.Factory(dict)
     tasks: dict[int, asyncio.Task[None]] = attrs.Factory(dict)
-    transactions: dict[tuple[bytes, int], Transaction] = attrs.Factory(dict)
     routes: dict[int, Route] = attrs.Factory(dict)
 
 
@@ -62,6 +63,7 @@
         self._clock = clock
         self._numbers = itertools.count(1)
         self._executor = Executor(group, clock)
+        self.transactions = Transactions(group, self._executor, clock)
         rules = admission.AdmissionRules(
             weights={
                 name: rule.weight for name, rule in service.classes.items()
@@ -86,18 +88,15 @@
         finally:
             for task in self._running.tasks.values():
                 task.cancel()
-            for key in list(self._running.transactions):
-                self.end_session(*key)
+            self.transactions.end_where(lambda _key: True)
 
     def open_requests(self) -> int:
         """Return the number of requests in flight.
 
         :returns: Waiting and running requests and open transactions.
         """
-        running = self._running
-        return (
-            len(self._waiting) + len(running.tasks) + len(running.transactions)
-        )
+        running = len(self._running.tasks)
+        return len(self._waiting) + running + len(self.transactions)
 
     def submit(
         self, sender: bytes, req: messages.StatementRequest, send: Send
@@ -111,9 +110,9 @@
         now = self._clock.now()
         call = Call(next(self._numbers), sender, req, now, send)
         self._running.calls[(sender, req.request)] = call
-        tx = self._running.transactions.get(call.key)
+        tx = self.transactions.get(call)
         if tx is not None:
-            self._start(call, self._run_in_transaction(call, tx))
+            self._start(call, self.transactions.run(call, tx))
             return
         if call.kind in _ENDS:
             self._start(call, call.end('', 'no transaction is open'))
@@ -152,32 +151,12 @@
             if task is not None:
                 task.cancel()
 
-    def end_session(self, sender: bytes, session: int) -> None:
-        """Roll back a session's transaction.
-
-        :param sender: Identity of the entry side's socket.
-        :param session: Number of the session.
-        """
-        tx = self._running.transactions.pop((sender, session), None)
-        if tx is not None and not tx.busy:
-            # Closing the connection makes the backend server roll back.
-            self.group.backends[tx.server].release(tx.lease)
-
     def end_sender(self, sender: bytes) -> None:
         """Roll back all transactions of an entry side that has gone.
 
         :param sender: Identity of its socket.
         """
-        for key in list(self._running.transactions):
-            if key[0] == sender:
-                self.end_session(*key)
-
-    def senders(self) -> set[bytes]:
-        """Return the entry sides with an open transaction.
-
-        :returns: Identities of their sockets.
-        """
-        return {sender for sender, _session in self._running.transactions}
+        self.transactions.end_where(lambda key: key[0] == sender)
 
     def group_changed(self) -> None:
         """Look at the queue again after a report of a backend server."""
@@ -210,7 +189,7 @@
             'primary': view.primary,
             'queue': len(self._admission),
             'running': len(self._running.tasks),
-            'transactions': len(self._running.transactions),
+            'transactions': len(self.transactions),
             'reads_by_reason': self.reads,
             'members': members,
         }
@@ -269,6 +248,8 @@
         if not ticket.replica:
             if ticket.kind is StatementKind.READ and view.primary:
                 route = self.group.router.primary_route()
+                if route is None:
+                    return None
                 self._running.routes[ticket.number] = route
             return view.primary
         call = self._waiting[ticket.number]
@@ -330,20 +311,23 @@
             await work
             done = True
         except PeerError:
-            self.end_session(*call.key)
+            self.transactions.end(call.key)
         except BackendError as exc:
             with contextlib.suppress(PeerError):
                 await call.fail(exc.code, exc.sqlstate, exc.message)
         finally:
-            self._running.tasks.pop(call.number, None)
-            self._running.routes.pop(call.number, None)
-            if call.number not in self._waiting:
-                key = (call.sender, call.req.request)
-                self._running.calls.pop(key, None)
-            if ticket is not None:
-                self._finish(ticket, done=done)
-
-    def _finish(self, ticket: queues.Ticket, *, done: bool) -> None:
+            self._finish(call, ticket, done=done)
+
+    def _finish(
+        self, call: Call, ticket: queues.Ticket | None, *, done: bool
+    ) -> None:
+        self._running.tasks.pop(call.number, None)
+        self._running.routes.pop(call.number, None)
+        if call.number not in self._waiting:
+            key = (call.sender, call.req.request)
+            self._running.calls.pop(key, None)
+        if ticket is None:
+            return
         now = self._clock.now()
         if self._tickets.get(ticket.number) is ticket:
             self._tickets.pop(ticket.number)
@@ -355,20 +339,16 @@
 
     async def _run(self, call: Call, server: str) -> None:
         """Run an admitted request; it is offered again if it may be retried."""
+        limit = max(1, call.deadline - self._clock.now())
         try:
-            async with asyncio.timeout(
-                seconds(max(1, call.deadline - self._clock.now()))
-            ):
+            async with asyncio.timeout(seconds(limit)):
                 await self._run_kind(call, server)
         except TimeoutError:
             await call.unknown('no answer before the deadline')
-        except executions.StaleAnswerError:
-            call.primary_only = True
-            await self._again(call, sent=False, reason='the answer was stale')
-        except TermChangedError:
-            await self._again(call, sent=False, reason='the term changed')
-        except ConnectionLostError as exc:
-            await self._again(call, sent=exc.sent, reason=str(exc))
+        except _RETRIED as exc:
+            sent = getattr(exc, 'sent', False)
+            call.primary_only = isinstance(exc, StaleAnswerError)
+            await self._again(call, sent=sent, reason=str(exc))
         except MarksError as exc:
             await call.fail(_BAD_MARK, _SQLSTATE, str(exc))
 
@@ -380,17 +360,16 @@
             self.reads[reason] = self.reads.get(reason, 0) + 1
             await self._executor.read(call, route)
         elif call.kind is StatementKind.BEGIN:
-            await self._begin(call, server)
+            await self.transactions.begin(call, server)
         else:
             await self._executor.write(call, server)
 
     async def _again(self, call: Call, *, sent: bool, reason: str) -> None:
         now = self._clock.now()
         call.attempts += 1
-        allowed = retries.may_retry(call.kind, call.req.repeatable, sent)
-        if call.kind is StatementKind.BEGIN:
-            allowed = True
-        if not allowed:
+        begins = call.kind is StatementKind.BEGIN
+        repeatable = call.req.repeatable
+        if not begins and not retries.may_retry(call.kind, repeatable, sent):
             await call.unknown(reason)
         elif now < call.deadline and self._budget.take(now):
             asyncio.get_running_loop().call_soon(self._offer, call)
@@ -399,67 +378,3 @@
             await call.unknown(reason)
         else:
             await call.refuse(reason, RETRY_AFTER)
-
-    async def _begin(self, call: Call, server: str) -> None:
-        backend = self.group.backends[server]
-        lease = await backend.acquire(
-            call.number, max(1, call.deadline - self._clock.now())
-        )
-        try:
-            await lease.conn.query(call.req.sql)
-        except BaseException:
-            backend.release(lease)
-            raise
-        self._running.transactions[call.key] = Transaction(
-            server, self.group.view.term, lease
-        )
-        await call.end(server, 'transaction', in_transaction=True)
-
-    async def _run_in_transaction(self, call: Call, tx: Transaction) -> None:
-        if tx.busy:
-            await call.refuse(
-                'the transaction is busy', RETRY_AFTER, open_tx=True
-            )
-            return
-        tx.busy = True
-        still_open = False
-        try:
-            async with asyncio.timeout(
-                seconds(max(1, call.deadline - self._clock.now()))
-            ):
-                still_open = await self._step(call, tx)
-        except TimeoutError:
-            await self._end_broken(call, tx, 'no answer before the deadline')
-        except (ConnectionLostError, TermChangedError) as exc:
-            await self._end_broken(call, tx, str(exc))
-        finally:
-            tx.busy = False
-            alive = self._running.transactions.get(call.key) is tx
-            if not (still_open and alive):
-                if alive:
-                    self._running.transactions.pop(call.key)
-                self.group.backends[tx.server].release(tx.lease)
-
-    async def _step(self, call: Call, tx: Transaction) -> bool:
-        if call.kind is StatementKind.COMMIT:
-            await self._executor.commit(call, tx)
-            tx.lease.clean = False
-            return False
-        if call.kind is StatementKind.ROLLBACK:
-            await tx.lease.conn.query(call.req.sql)
-            await call.end(tx.server, 'transaction')
-            return False
-        return await self._executor.in_transaction(call, tx)
-
-    async def _end_broken(
-        self, call: Call, tx: Transaction, reason: str
-    ) -> None:
-        """Answer a statement whose transaction was lost."""
-        if call.kind is not StatementKind.COMMIT:
-            await call.refuse(
-                f'the transaction was rolled back: {reason}', RETRY_AFTER
-            )
-        elif call.req.request_id is not None:
-            await self._executor.resolve(call, tx.lease)
-        else:
-            await call.unknown(reason)
--- /dev/null
+++ b/monsoonproxy/hosting.py
@@ -0,0 +1,219 @@
+"""The services that a daemon holds."""
+
+import asyncio
+import itertools
+import os
+import pathlib
+import random
+from collections.abc import Iterable
+
+import attrs
+
+from monsoonproxy import adapters, placement, pools, signals
+from monsoonproxy.backends import Backend, Credentials
+from monsoonproxy.claims import TermClaims
+from monsoonproxy.clock import Clock, seconds
+from monsoonproxy.configuration import Configuration
+from monsoonproxy.declarations import Service
+from monsoonproxy.exceptions import ConfigurationError
+from monsoonproxy.failover import Failover
+from monsoonproxy.groups import Group
+from monsoonproxy.holders import Holder
+from monsoonproxy.logs import log_for
+from monsoonproxy.models import Host
+from monsoonproxy.supervisors import Supervisor
+
+_log = log_for('hosting')
+
+_DRAIN_INTERVAL = 50
+
+
+@attrs.define
+class _Held:
+    """A service with its tasks."""
+
+    holder: Holder
+    rank: int
+    tasks: tuple[str, ...]
+
+
+class Hosting:
+    """Starts and stops the holders of services.
+
+    :param own: Address of this daemon.
+    :param claims: Claims terms for this daemon.
+    :param supervisor: Runs the tasks of the holders.
+    :param clock: Source of time.
+    :param rng: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        claims: TermClaims,
+        supervisor: Supervisor,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._claims = claims
+        self._supervisor = supervisor
+        self._clock = clock
+        self._rng = rng
+        self._held: dict[str, _Held] = {}
+        self._draining: set[asyncio.Task[None]] = set()
+        self._numbers = itertools.count(1)
+        self._cfg = Configuration()
+        self._hosts: tuple[Host, ...] = ()
+
+    def holders_of(self, service: Service) -> tuple[str, ...]:
+        """Return the addresses of a service's holders in rank order.
+
+        :param service: The service.
+        :returns: Addresses.
+        """
+        chosen = placement.holders(service.name, self._hosts, service.holders)
+        return tuple(host.address for host in chosen)
+
+    def get(self, service: str) -> Holder | None:
+        """Return the holder of a service, started if need be.
+
+        A request may arrive at a daemon that does not consider itself a
+        holder, since host lists differ for a while. It is served all the same.
+
+        :param service: Name of the service.
+        :returns: The holder, or ``None`` if the service is not declared.
+        """
+        held = self._held.get(service)
+        return held.holder if held else None
+
+    def all(self) -> tuple[Holder, ...]:
+        """Return the holders of all held services.
+
+        :returns: The holders.
+        """
+        return tuple(held.holder for held in self._held.values())
+
+    def configure(self, cfg: Configuration) -> None:
+        """Take a new configuration into use.
+
+        :param cfg: The configuration.
+        """
+        changed = {
+            name
+            for name, held in self._held.items()
+            if cfg.services.get(name) != held.holder.service
+        }
+        self._cfg = cfg
+        for name in changed:
+            self._release(name)
+        self.place(self._hosts)
+
+    def place(self, hosts: Iterable[Host]) -> None:
+        """Hold the services that belong to this daemon among some hosts.
+
+        :param hosts: The usable hosts.
+        """
+        self._hosts = tuple(hosts)
+        for name, service in self._cfg.services.items():
+            addresses = self.holders_of(service)
+            if self._own in addresses:
+                self._hold(service, addresses.index(self._own))
+            elif name in self._held:
+                self._release(name)
+
+    async def stop(self) -> None:
+        """Release all services and wait until they are drained."""
+        for name in tuple(self._held):
+            self._release(name)
+        await asyncio.gather(*self._draining)
+
+    def _hold(self, service: Service, rank: int) -> None:
+        held = self._held.get(service.name)
+        if held is None:
+            self._start(service, rank)
+        elif held.rank != rank:
+            held.rank = rank
+            held.holder.group.handle(signals.RankChanged(rank))
+
+    def _start(self, service: Service, rank: int) -> None:
+        _log.info('Holding {} at rank {}', service.name, rank)
+        backends = self._backends(service)
+        rules = signals.FailoverRules(
+            silence_detection=service.silence_detection,
+            refused_detection=service.refused_detection,
+            isolation_detection=service.isolation_detection,
+            rank_delay=service.rank_delay,
+            claim_timeout=service.claim_timeout,
+        )
+        failover = Failover(
+            self._claims.candidate, tuple(backends), rank, rules, self._rng
+        )
+        group = Group(
+            service.name, backends, self._claims, failover, self._clock
+        )
+        holder = Holder(service, group, self._clock, self._rng)
+        group.on_change = holder.group_changed
+        number = next(self._numbers)
+        tasks = (f'group {number}', f'holder {number}')
+        self._held[service.name] = _Held(holder, rank, tasks)
+        self._supervisor.start_child(tasks[0], group.run)
+        self._supervisor.start_child(tasks[1], holder.run)
+        for member in service.members:
+            if member.leaving:
+                group.set_leaving(member.name)
+
+    def _backends(self, service: Service) -> dict[str, Backend]:
+        adapter = adapters.databases.get(service.database)()
+        rules = pools.PoolRules(
+            service.connection_limit, service.holders, service.slots
+        )
+        return {
+            member.name: Backend(
+                member.name,
+                member.address,
+                adapter,
+                credentials=read_credentials(service.credentials),
+                rules=rules,
+                clock=self._clock,
+            )
+            for member in service.members
+        }
+
+    def _release(self, name: str) -> None:
+        held = self._held.pop(name)
+        _log.info('Releasing {}', name)
+        task = asyncio.create_task(self._drain(held))
+        self._draining.add(task)
+        task.add_done_callback(self._draining.discard)
+
+    async def _drain(self, held: _Held) -> None:
+        """Let a holder finish what it has, then stop its tasks."""
+        holder = held.holder
+        deadline = self._clock.now() + holder.service.drain_timeout
+        while holder.open_requests() and self._clock.now() < deadline:
+            await asyncio.sleep(seconds(_DRAIN_INTERVAL))
+        for task in reversed(held.tasks):
+            await self._supervisor.stop_child(task)
+        await holder.group.close()
+
+
+def read_credentials(reference: str) -> Credentials:
+    """Read the log-in for backend servers.
+
+    :param reference: ``env:NAME`` or ``file:/PATH`` of a text
+        ``user:password``.
+    :returns: The log-in.
+    :raises ConfigurationError: If there is no such text.
+    """
+    kind, place = reference.split(':', 1)
+    try:
+        text = (
+            os.environ[place]
+            if kind == 'env'
+            else pathlib.Path(place).read_text()
+        )
+    except (KeyError, OSError):
+        raise ConfigurationError(f'{reference} can not be read') from None
+    login = text.strip().split(':', 1)
+    return Credentials(login[0], ''.join(login[1:]))
--- /dev/null
+++ b/monsoonproxy/links.py
@@ -0,0 +1,115 @@
+"""The connections of a daemon to its peers, opened when they are needed."""
+
+from collections.abc import Callable
+
+from monsoonproxy import messages
+from monsoonproxy.clock import seconds
+from monsoonproxy.exceptions import PeerError
+from monsoonproxy.peers import CurveKeys, Link, LostHandler, ReplyHandler
+from monsoonproxy.supervisors import Supervisor
+
+#: Time in ms that a first message waits for its connection.
+_CONNECT_WAIT = 300
+
+LocalHandler = Callable[[messages.Message], None]
+
+
+class Links:
+    """Sends messages to daemons by address, this one included.
+
+    :param own: Address of this daemon.
+    :param identity: Identity of its sockets, unique per incarnation.
+    :param supervisor: Runs the tasks of the links.
+    :param handler: Takes the replies of peers.
+    :param lost: Takes the addresses of broken connections.
+    :param keys: CURVE keys, or ``None``.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        identity: bytes,
+        supervisor: Supervisor,
+        *,
+        handler: ReplyHandler,
+        lost: LostHandler,
+        keys: CurveKeys | None,
+    ) -> None:
+        self._own = own
+        self._identity = identity
+        self._supervisor = supervisor
+        self._handler = handler
+        self._lost = lost
+        self._keys = keys
+        self._links: dict[str, Link] = {}
+        self.local: LocalHandler | None = None
+
+    async def send(self, address: str, message: messages.Message) -> None:
+        """Send a message over an established connection.
+
+        A new connection is given a short time to be established.
+
+        :param address: The peer.
+        :param message: The message.
+        :raises PeerError: If it was not sent and never will be.
+        """
+        if address == self._own and self.local is not None:
+            self.local(message)
+            return
+        link = self._links.get(address)
+        if link is None:
+            link = self.open(address)
+            await link.wait_connected(seconds(_CONNECT_WAIT))
+        await link.send(message)
+
+    async def try_send(self, address: str, message: messages.Message) -> bool:
+        """Send a message that may be lost.
+
+        :param address: The peer.
+        :param message: The message.
+        :returns: Whether it was sent.
+        """
+        try:
+            await self.send(address, message)
+        except PeerError:
+            return False
+        return True
+
+    def open(self, address: str) -> Link:
+        """Open the connection to a peer.
+
+        :param address: The peer.
+        :returns: Its link.
+        """
+        link = Link(
+            address,
+            self._identity,
+            handler=self._handler,
+            lost=self._lost,
+            keys=self._keys,
+        )
+        self._links[address] = link
+        self._supervisor.start_child(f'link {address}', link.run)
+        return link
+
+    async def keep_only(self, addresses: set[str]) -> None:
+        """Close the connections to all other peers.
+
+        :param addresses: The peers that are still known.
+        """
+        for address in self._links.keys() - addresses:
+            await self._supervisor.stop_child(f'link {address}')
+            self._links.pop(address).close()
+
+    def connected(self) -> set[str]:
+        """Return the peers with an established connection.
+
+        :returns: Their addresses.
+        """
+        return {
+            address for address, link in self._links.items() if link.connected
+        }
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.keep_only(set())
--- /dev/null
+++ b/monsoonproxy/metrics.py
@@ -0,0 +1,91 @@
+"""Counters and latency histograms of a daemon."""
+
+import collections
+from collections.abc import Iterable
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from monsoonproxy.clock import Clock, Millis
+from monsoonproxy.models import Outcome
+
+#: Longest recorded latency in ms, and the precision in digits.
+_LONGEST_MS = 60_000
+_DIGITS = 2
+_MS_PER_MINUTE = 60_000
+#: Minutes of counters that a daemon keeps.
+_KEPT_MINUTES = 6 * 60
+_QUANTILES = (50.0, 99.0)
+
+_Key = tuple[int, str, str, str]
+
+
+class Metrics:
+    """Counts outcomes per minute, service and class.
+
+    :param clock: Source of the wall-clock time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._counts: collections.Counter[_Key] = collections.Counter()
+        self._latencies: dict[tuple[str, str], HdrHistogram] = {}
+        self._minute = 0
+
+    def record(
+        self,
+        service: str,
+        request_class: str,
+        outcome: Outcome,
+        took: Millis,
+    ) -> None:
+        """Count the end of a request.
+
+        :param service: Name of the service.
+        :param request_class: Weight class.
+        :param outcome: How it ended.
+        :param took: Time in ms since it arrived.
+        """
+        minute = self._clock.wall() // _MS_PER_MINUTE
+        if minute != self._minute:
+            self._minute = minute
+            self._forget(minute - _KEPT_MINUTES)
+        self._counts[(minute, service, request_class, outcome.value)] += 1
+        histogram = self._latencies.get((service, request_class))
+        if histogram is None:
+            histogram = HdrHistogram(1, _LONGEST_MS, _DIGITS)
+            self._latencies[(service, request_class)] = histogram
+        histogram.record_value(max(1, min(took, _LONGEST_MS)))
+
+    def counters(self) -> list[dict[str, Any]]:
+        """Return the counters per minute.
+
+        :returns: One row per minute, service, class and outcome.
+        """
+        return [
+            {
+                'minute': minute,
+                'service': service,
+                'class': request_class,
+                'outcome': outcome,
+                'count': count,
+            }
+            for (minute, service, request_class, outcome), count in sorted(
+                self._counts.items()
+            )
+        ]
+
+    def latencies(self) -> Iterable[tuple[str, str, float, int]]:
+        """Yield latency quantiles.
+
+        :yields: Service, class, quantile in percent, and latency in ms.
+        """
+        for (service, request_class), histogram in self._latencies.items():
+            for quantile in _QUANTILES:
+                latency = histogram.get_value_at_percentile(quantile)
+                yield service, request_class, quantile, latency
+
+    def _forget(self, before: int) -> None:
+        old = tuple(key for key in self._counts if key[0] < before)
+        for key in old:
+            self._counts.pop(key)
