--- a/emulator/audit.py
+++ b/emulator/audit.py
@@ -36,7 +36,8 @@
         if self._file is None:
             self.lines.append(line)
             return
-        self._file.write(json.dumps(line).encode() + b'\n')
+        text = json.dumps(line)
+        self._file.write(f'{text}\n'.encode())
 
     def close(self) -> None:
         """Close the file."""
--- a/emulator/delays.py
+++ b/emulator/delays.py
@@ -50,7 +50,8 @@
     async def close(self) -> None:
         """Drop all items and end the task."""
         self.clear()
-        task, self._task = self._task, None
+        task = self._task
+        self._task = None
         if task is not None:
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
--- a/emulator/executor.py
+++ b/emulator/executor.py
@@ -1,6 +1,5 @@
 """Runs statements of one connection."""
 
-import itertools
 from collections.abc import Iterable
 
 import attrs
@@ -8,8 +7,9 @@
 from emulator import selects, syntax
 from emulator.errors import SqlError, read_only, term_changed
 from emulator.log import Cell, Change, Key
-from emulator.member import Member, Transaction
+from emulator.member import Member
 from emulator.tables import Row, Table
+from emulator.transactions import Transaction
 
 
 @attrs.define
@@ -39,6 +39,7 @@
 
     def __init__(self, member: Member, connection: int) -> None:
         self._member = member
+        self._locks = member.transactions.locks
         self._connection = connection
         self._transaction: Transaction | None = None
         self._autocommit = True
@@ -186,9 +187,7 @@
             row, taken = _new_row(table, statement.columns, expressions)
             insert_id = insert_id or taken
             key = table.key_of(row)
-            await self._member.locks.acquire(
-                (statement.table, key), transaction
-            )
+            await self._locks.acquire((statement.table, key), transaction)
             self._check_open(transaction)
             if key in staged or transaction.view.get(statement.table, key):
                 shown = '-'.join(selects.shown(cell) for cell in key)
@@ -227,36 +226,39 @@
     ) -> list[Key]:
         schema = self._member.tables.get(table)
         found = selects.matching(schema, transaction.view, table, where)
-        for key, _ in list(found):
-            await self._member.locks.acquire((table, key), transaction)
+        keys = [key for key, _ in found]
+        for wanted in keys:
+            await self._locks.acquire((table, wanted), transaction)
         self._check_open(transaction)
-        # A row may have changed while its lock was awaited.
+        # A row may have changed while its lock was awaited. One that has
+        # come to match meanwhile is left out, as it is not locked.
         found = selects.matching(schema, transaction.view, table, where)
-        locked = [key for key, _ in found if (table, key) in transaction.held]
-        return locked
+        return [key for key, _ in found if (table, key) in transaction.held]
 
     def _check_open(self, transaction: Transaction) -> None:
         if transaction.ended_by_term:
             raise term_changed()
 
     def _begin(self) -> Transaction:
-        self._transaction = self._member.begin(self._connection)
+        self._transaction = self._member.transactions.begin(self._connection)
         return self._transaction
 
     def _commit(self, extra: Change | None = None) -> Outcome:
-        transaction, self._transaction = self._transaction, None
+        transaction = self._transaction
+        self._transaction = None
         if transaction is None:
             return Outcome()
         try:
             return Outcome(commit=self._member.commit(transaction, extra))
         except SqlError:
-            self._member.rollback(transaction, 'the commit failed')
+            self._member.transactions.rollback(transaction, 'the commit failed')
             raise
 
     def _rollback(self, reason: str) -> None:
-        transaction, self._transaction = self._transaction, None
+        transaction = self._transaction
+        self._transaction = None
         if transaction is not None:
-            self._member.rollback(transaction, reason)
+            self._member.transactions.rollback(transaction, reason)
 
     def _audit(self, transaction: Transaction, sql: str, error: str) -> None:
         self._member.audit.write(
@@ -299,4 +301,4 @@
         index = table.index(name)
         cell = selects.computed(expression, table, tuple(cells))
         cells[index] = selects.coerced(cell, table.schema.columns[index])
-    return tuple(itertools.chain(cells))
+    return tuple(cells)
--- a/emulator/locks.py
+++ b/emulator/locks.py
@@ -7,6 +7,7 @@
 from emulator.log import Key
 
 LockKey = tuple[str, Key]
+_Grant = asyncio.Future[None]
 
 #: As long as a holder's statement deadline may be, so that a lock that is
 #: never released still ends the statement.
@@ -22,14 +23,15 @@
         self.ended_by_term = False
 
 
+_Queue = deque[tuple[Owner, _Grant]]
+
+
 class Locks:
     """Exclusive locks on rows, granted in the order of the requests."""
 
     def __init__(self) -> None:
         self._owners: dict[LockKey, Owner] = {}
-        self._queues: dict[
-            LockKey, deque[tuple[Owner, asyncio.Future[None]]]
-        ] = {}
+        self._queues: dict[LockKey, _Queue] = {}
 
     async def acquire(self, key: LockKey, owner: Owner) -> None:
         """Lock a row until the transaction ends.
--- a/emulator/member.py
+++ b/emulator/member.py
@@ -10,31 +10,16 @@
 
 from emulator.audit import Audit
 from emulator.delays import DelayLine
-from emulator.errors import read_only, term_changed, term_refused
-from emulator.locks import Locks, Owner
+from emulator.errors import SqlError, read_only, term_changed, term_refused
 from emulator.log import Change, Entry, Log
 from emulator.switches import Gate, Switches
-from emulator.tables import Tables, View
+from emulator.tables import Tables
+from emulator.transactions import Transaction, Transactions
 
 PRIMARY = 'primary'
 REPLICA = 'replica'
 
 
-class Transaction(Owner):
-    """An open transaction.
-
-    :param name: Identifies it in the audit log.
-    :param connection: Id of its connection.
-    :param tables: The committed tables.
-    """
-
-    def __init__(self, name: str, connection: int, tables: Tables) -> None:
-        super().__init__()
-        self.name = name
-        self.connection = connection
-        self.view = View(tables)
-
-
 @attrs.define
 class Promise:
     """What a member keeps besides its log.
@@ -80,17 +65,14 @@
         self.gate = Gate(switches or Switches())
         self.audit = audit or Audit(name, None)
         self.following: Following | None = None
-        self.locks = Locks()
         self._meta = directory / 'promise.json' if directory else None
         self.promise = _load_promise(self._meta)
         self.log = Log(directory / 'log' if directory else None)
         self.tables = Tables()
+        self.transactions = Transactions(name, self.tables, self.audit)
         self.applied = 0
-        self._open: set[Transaction] = set()
         self._heard_at = time.monotonic()
         self._changed = asyncio.Event()
-        self._started = time.time_ns()
-        self._count = 0
         self._applying: DelayLine[int] = DelayLine(
             self.gate, lambda: self.gate.switches.apply_lag_ms, self._apply
         )
@@ -176,11 +158,11 @@
         :raises SqlError: If the term was not granted to the candidate.
         """
         if (term, candidate) != (self.promise.term, self.promise.candidate):
-            raise term_refused(f'term {self.promise.term} was promised')
+            raise _promised(self.promise)
         if self.is_primary:
             return
         if self.log.term >= term:
-            raise term_refused(f'the log is already in term {self.log.term}')
+            raise term_refused('the log is already in that term')
         self._stop_following()
         self._apply(self.log.end)
         self._keep(Promise(term, candidate, PRIMARY))
@@ -196,7 +178,7 @@
             itself the primary of that term.
         """
         if term < self.promise.term:
-            raise term_refused(f'term {self.promise.term} was promised')
+            raise _promised(self.promise)
         if self.is_primary and term == self.promise.term:
             raise term_refused('this is the primary of that term')
         candidate = self.promise.candidate if term == self.promise.term else ''
@@ -244,21 +226,6 @@
         self._applying.put(self.log.end)
         self.notify()
 
-    def begin(self, connection: int) -> Transaction:
-        """Open a transaction.
-
-        :param connection: Id of its connection.
-        :returns: The transaction.
-        """
-        self._count += 1
-        transaction = Transaction(
-            f'{self.name}-{self._started}-{self._count}',
-            connection,
-            self.tables,
-        )
-        self._open.add(transaction)
-        return transaction
-
     def commit(
         self, transaction: Transaction, extra: Change | None = None
     ) -> tuple[int, int]:
@@ -269,10 +236,7 @@
         :returns: Term and offset of the end of the log.
         :raises SqlError: If a term change ended it, or it can't write here.
         """
-        changes = [
-            Change(table, key, row)
-            for (table, key), row in transaction.view.changes.items()
-        ]
+        changes = transaction.changes()
         changes += [extra] if extra else []
         if transaction.ended_by_term:
             raise term_changed()
@@ -289,26 +253,9 @@
                 term=entry.term,
                 offset=offset,
             )
-        self._close(transaction)
+        self.transactions.close(transaction)
         return self.log.term, self.log.end
 
-    def rollback(self, transaction: Transaction, reason: str) -> None:
-        """Roll a transaction back.
-
-        :param transaction: The transaction.
-        :param reason: Why, for the audit log.
-        """
-        if transaction not in self._open:
-            return
-        if transaction.view.changes:
-            self.audit.write(
-                'rollback',
-                connection=transaction.connection,
-                transaction=transaction.name,
-                reason=reason,
-            )
-        self._close(transaction)
-
     async def close(self) -> None:
         """End all tasks and close the files."""
         self._stop_following()
@@ -326,17 +273,11 @@
             self.applied = end
             self.notify()
 
-    def _close(self, transaction: Transaction) -> None:
-        self._open.discard(transaction)
-        self.locks.release(transaction)
-
     def _step_down(self) -> None:
         self._stop_following()
         if self.is_primary:
             self.heard()
-            for transaction in tuple(self._open):
-                self.locks.interrupt(transaction)
-                self.rollback(transaction, 'the term changed')
+            self.transactions.end_all()
 
     def _stop_following(self) -> None:
         if self.following is not None:
@@ -355,3 +296,8 @@
     if meta is None or not meta.exists():
         return Promise()
     return Promise(**json.loads(meta.read_text()))
+
+
+def _promised(promise: Promise) -> SqlError:
+    term, candidate = promise.term, promise.candidate
+    return term_refused(f'term {term} was promised to {candidate!r}')
--- a/emulator/platform.py
+++ b/emulator/platform.py
@@ -11,6 +11,7 @@
 
 from emulator.control import address_of, serve
 
+HostList = list[dict[str, str]]
 _Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -65,7 +66,7 @@
         self.table: dict[str, bytes] = {}
         self.objects: dict[str, bytes] = {}
         self._versions: dict[str, int] = {}
-        self._lists: list[tuple[float, list[dict[str, str]]]] = [(0, [])]
+        self._lists: list[tuple[float, HostList]] = [(0, [])]
         self._endpoint = (host, port)
         self._runner: web.AppRunner | None = None
 
@@ -106,7 +107,7 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    def set_hosts(self, hosts: list[dict[str, str]]) -> None:
+    def set_hosts(self, hosts: HostList) -> None:
         """Change the host list.
 
         :param hosts: ``address``, ``availability_zone`` and ``state`` of
@@ -201,8 +202,8 @@
 
     def _etag(self, key: str) -> str:
         version = self._versions[key]
-        digest = hashlib.sha256(self.table[key]).hexdigest()
-        return f'"{version}-{digest[:16]}"'
+        digest = hashlib.sha256(self.table[key]).hexdigest()[:16]
+        return f'"{version}-{digest}"'
 
     def _maybe_lose(self, request: web.Request) -> None:
         if self.switches.lose_answers > 0:
--- a/emulator/replication.py
+++ b/emulator/replication.py
@@ -25,6 +25,9 @@
 _RETRY_DELAY = 0.05
 _BATCH_ENTRIES = 200
 
+#: The term that a follower follows, and entries of the primary.
+_Batch = tuple[int, list[Entry]]
+
 
 async def stream(
     member: Member, term: int, end: int, starts: str
@@ -60,7 +63,7 @@
     def __init__(self, member: Member) -> None:
         self._member = member
         self._task: asyncio.Task[None] | None = None
-        self._receiving: DelayLine[tuple[int, list[Entry]]] = DelayLine(
+        self._receiving: DelayLine[_Batch] = DelayLine(
             member.gate,
             lambda: (
                 member.gate.switches.receive_lag_ms
@@ -130,7 +133,7 @@
                 if entries:
                     self._receiving.put((term, entries))
 
-    def _receive(self, batch: tuple[int, list[Entry]]) -> None:
+    def _receive(self, batch: _Batch) -> None:
         term, entries = batch
         if self._member.may_receive(term):
             self._member.receive(entries)
--- a/emulator/selects.py
+++ b/emulator/selects.py
@@ -23,6 +23,10 @@
     '<>': operator.ne,
     '!=': operator.ne,
 }
+#: Name and kind of each column, and the rows.
+ResultRows = tuple[list[tuple[str, str]], Iterable[Row]]
+#: Index of the column, operator and literals of each condition.
+_Tests = list[tuple[int, str, tuple[Cell, ...]]]
 _AGGREGATES = frozenset(('COUNT', 'SUM', 'MAX', 'MIN'))
 
 
@@ -117,10 +121,12 @@
     :yields: Key and row.
     """
     tests = [
-        (table.index(condition.column), condition.operator, cells)
-        for condition, cells in (
-            (condition, _cells(table, condition)) for condition in where
+        (
+            table.index(condition.column),
+            condition.operator,
+            _cells(table, condition),
         )
+        for condition in where
     ]
     for key, row in _candidates(table, view, name, tests):
         if all(_holds(row[index], how, cells) for index, how, cells in tests):
@@ -129,7 +135,7 @@
 
 def evaluate(
     statement: syntax.Select, view: View, tables: Tables, connection: int
-) -> tuple[list[tuple[str, str]], Iterable[Row]]:
+) -> ResultRows:
     """Evaluate a SELECT.
 
     :param statement: The statement.
@@ -152,9 +158,7 @@
         row
         for _, row in matching(table, view, statement.table, statement.where)
     ]
-    for name, descending in reversed(statement.order):
-        index = table.index(name)
-        found.sort(key=lambda row: _sort_key(row[index]), reverse=descending)
+    _sort(table, found, statement.order)
     if any(_is_aggregate(output.expression) for output in statement.outputs):
         return _aggregated(statement.outputs, table, found)
     if statement.limit is not None:
@@ -163,9 +167,22 @@
     return _projected(statement.outputs, table, found)
 
 
+def _sort(
+    table: Table, rows: list[Row], order: tuple[tuple[str, bool], ...]
+) -> None:
+    # The sort is stable, so the least important column comes first.
+    for name, descending in reversed(order):
+        index = table.index(name)
+
+        def sort_key(row: Row, index: int = index) -> tuple[bool, int, bytes]:
+            return _sort_key(row[index])
+
+        rows.sort(key=sort_key, reverse=descending)
+
+
 def _projected(
     outputs: tuple[syntax.Output, ...], table: Table, rows: list[Row]
-) -> tuple[list[tuple[str, str]], Iterable[Row]]:
+) -> ResultRows:
     columns: list[tuple[str, str]] = []
     expressions: list[syntax.Expression] = []
     for output in outputs:
@@ -187,7 +204,7 @@
 
 def _aggregated(
     outputs: tuple[syntax.Output, ...], table: Table, rows: list[Row]
-) -> tuple[list[tuple[str, str]], Iterable[Row]]:
+) -> ResultRows:
     cells = [
         _aggregate(output.expression, table, rows)
         for output in outputs
@@ -202,11 +219,8 @@
 def _aggregate(call: syntax.Call, table: Table, rows: list[Row]) -> Cell:
     if not call.arguments:
         return len(rows)
-    cells = [
-        cell
-        for cell in (computed(call.arguments[0], table, row) for row in rows)
-        if cell is not None
-    ]
+    computed_cells = [computed(call.arguments[0], table, row) for row in rows]
+    cells = [cell for cell in computed_cells if cell is not None]
     if call.name == 'COUNT':
         return len(cells)
     if not cells:
@@ -227,7 +241,7 @@
     table: Table,
     view: View,
     name: str,
-    tests: list[tuple[int, str, tuple[Cell, ...]]],
+    tests: _Tests,
 ) -> Iterable[tuple[Key, Row]]:
     fixed = {index: cells for index, how, cells in tests if how in {'=', 'in'}}
     if len(table.schema.key) != 1 or table.schema.key[0] not in fixed:
--- a/emulator/sql.py
+++ b/emulator/sql.py
@@ -279,24 +279,13 @@
     raise syntax_error(repr(cell))
 
 
-def _begin(cursor: Cursor) -> syntax.Control:
-    _skip(cursor)
-    return syntax.Control('begin')
+def _control(word: str) -> Callable[[Cursor], syntax.Statement]:
+    def parser(cursor: Cursor) -> syntax.Control:
+        while cursor.token.kind != 'end':
+            cursor.take()
+        return syntax.Control(word)
 
-
-def _commit(cursor: Cursor) -> syntax.Control:
-    _skip(cursor)
-    return syntax.Control('commit')
-
-
-def _rollback(cursor: Cursor) -> syntax.Control:
-    _skip(cursor)
-    return syntax.Control('rollback')
-
-
-def _nothing(cursor: Cursor) -> syntax.Control:
-    _skip(cursor)
-    return syntax.Control('nothing')
+    return parser
 
 
 def _set(cursor: Cursor) -> syntax.Statement:
@@ -305,7 +294,7 @@
         cursor.take()
         cursor.expect('=')
         return syntax.SetAutocommit(cursor.take().text.upper() not in _FALSE)
-    return _nothing(cursor)
+    return _control('nothing')(cursor)
 
 
 def _kill(cursor: Cursor) -> syntax.Kill:
@@ -313,22 +302,17 @@
     return syntax.Kill(_whole(cursor))
 
 
-def _skip(cursor: Cursor) -> None:
-    while cursor.token.kind != 'end':
-        cursor.take()
-
-
 _PARSERS: dict[str, Callable[[Cursor], syntax.Statement]] = {
     'CREATE': _create,
     'INSERT': _insert,
     'UPDATE': _update,
     'DELETE': _delete,
     'SELECT': _select,
-    'BEGIN': _begin,
-    'START': _begin,
-    'COMMIT': _commit,
-    'ROLLBACK': _rollback,
+    'BEGIN': _control('begin'),
+    'START': _control('begin'),
+    'COMMIT': _control('commit'),
+    'ROLLBACK': _control('rollback'),
     'SET': _set,
-    'USE': _nothing,
+    'USE': _control('nothing'),
     'KILL': _kill,
 }
