--- a/emulator/database.py
+++ b/emulator/database.py
@@ -108,9 +108,8 @@
         app.router.add_post('/switches', self._switch)
         self._control = await serve(app, options.host, options.control_port)
         promise = self.member.promise
-        if promise.source:
-            self._follower.start(promise.term, promise.source)
-        elif promise.term == 0 and options.primary:
+        self.member.resume()
+        if promise.term == 0 and options.primary:
             self.member.set_term(1, 'initial')
             self.member.promote(1, 'initial')
         elif promise.term == 0 and options.source:
@@ -146,7 +145,7 @@
         :param changes: New values by the names of ``Switches``.
         """
         self.member.gate.update(changes)
-        self.member.notify()
+        self.member.changed.notify()
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/emulator/delays.py
+++ b/emulator/delays.py
@@ -62,7 +62,7 @@
             arrived = self._waiting[0][0] if self._waiting else 0
             left = arrived + self._delay() / 1000 - time.monotonic()
             if left > 0:
-                await self._gate.changed(left)
+                await self._gate.changed.wait(left)
             elif self._waiting:
                 self._deliver(self._waiting.popleft()[1])
         self._task = None
--- a/emulator/executor.py
+++ b/emulator/executor.py
@@ -12,6 +12,9 @@
 from emulator.transactions import Transaction
 
 
+_ROLLBACK = syntax.Control('rollback')
+
+
 @attrs.define
 class Outcome:
     """What a statement returned.
@@ -76,7 +79,8 @@
         :returns: What it returned.
         :raises SqlError: If it failed.
         """
-        self._check_term(sql)
+        if statement != _ROLLBACK:
+            self._check_term(sql)
         if isinstance(statement, syntax.Control):
             return self._control(statement.word)
         if isinstance(statement, syntax.SetAutocommit):
--- a/emulator/member.py
+++ b/emulator/member.py
@@ -1,6 +1,5 @@
 """A backend server as a member of its group: terms, log and tables."""
 
-import asyncio
 import json
 import pathlib
 import time
@@ -12,6 +11,7 @@
 from emulator.delays import DelayLine
 from emulator.errors import SqlError, read_only, term_changed, term_refused
 from emulator.log import Change, Entry, Log
+from emulator.signals import Signal
 from emulator.switches import Gate, Switches
 from emulator.tables import Tables
 from emulator.transactions import Transaction, Transactions
@@ -45,6 +45,9 @@
     def stop(self) -> None:
         """Stop following."""
 
+    async def settle(self, limit: float) -> None:
+        """Wait until the own log agrees with the primary's."""
+
 
 class Member:
     """A member of a group.
@@ -72,7 +75,7 @@
         self.transactions = Transactions(name, self.tables, self.audit)
         self.applied = 0
         self._heard_at = time.monotonic()
-        self._changed = asyncio.Event()
+        self.changed = Signal()
         self._applying: DelayLine[int] = DelayLine(
             self.gate, lambda: self.gate.switches.apply_lag_ms, self._apply
         )
@@ -86,6 +89,14 @@
         """
         return self.promise.role == PRIMARY
 
+    def resume(self) -> None:
+        """Take up the role that the member had before a restart."""
+        if self.is_primary and self.log.term < self.promise.term:
+            # It was killed before it had written the start of its term.
+            self._start_term()
+        elif self.following is not None and self.promise.source:
+            self.following.start(self.promise.term, self.promise.source)
+
     def status(self) -> dict[str, str]:
         """Return the status row.
 
@@ -107,33 +118,6 @@
             'term_starts': json.dumps(self.log.starts),
         }
 
-    def notify(self) -> None:
-        """Wake everyone who waits for a change."""
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    async def change(self, limit: float) -> None:
-        """Wait until something changes.
-
-        :param limit: Greatest time to wait, in seconds.
-        """
-        try:
-            await asyncio.wait_for(self._changed.wait(), limit)
-        except asyncio.TimeoutError:
-            return
-
-    async def wait_change(
-        self, received: int, applied: int, limit: int
-    ) -> None:
-        """Wait until a position differs, or anything else changes.
-
-        :param received: The last known received offset.
-        :param applied: The last known applied offset.
-        :param limit: Greatest time to wait, in ms.
-        """
-        if (received, applied) == (self.log.end, self.applied):
-            await self.change(limit / 1000)
-
     def set_term(self, term: int, candidate: str) -> None:
         """Grant a term if it is newer than the promised one.
 
@@ -166,8 +150,7 @@
         self._stop_following()
         self._apply(self.log.end)
         self._keep(Promise(term, candidate, PRIMARY))
-        self._append(Entry(term, self.log.end + 1, '', []))
-        self.audit.write('promote', term=term, end=self.log.end)
+        self._start_term()
 
     def follow(self, term: int, source: str) -> None:
         """Follow the primary of a term.
@@ -214,7 +197,7 @@
             self.tables.clear()
             self.applied = 0
             self._apply(end)
-        self.notify()
+        self.changed.notify()
 
     def receive(self, entries: list[Entry]) -> None:
         """Append entries of the primary.
@@ -224,7 +207,7 @@
         for entry in entries:
             self.log.append(entry)
         self._applying.put(self.log.end)
-        self.notify()
+        self.changed.notify()
 
     def commit(
         self, transaction: Transaction, extra: Change | None = None
@@ -263,6 +246,11 @@
         self.log.close()
         self.audit.close()
 
+    def _start_term(self) -> None:
+        term = self.promise.term
+        self._append(Entry(term, self.log.end + 1, '', []))
+        self.audit.write('promote', term=term, end=self.log.end)
+
     def _append(self, entry: Entry) -> None:
         self.log.append(entry)
         self._apply(self.log.end)
@@ -271,7 +259,7 @@
         if end > self.applied:
             self.tables.apply(self.log.after(self.applied, end - self.applied))
             self.applied = end
-            self.notify()
+            self.changed.notify()
 
     def _step_down(self) -> None:
         self._stop_following()
@@ -289,7 +277,7 @@
             fresh = self._meta.with_suffix('.new')
             fresh.write_text(json.dumps(attrs.asdict(promise)))
             fresh.replace(self._meta)
-        self.notify()
+        self.changed.notify()
 
 
 def _load_promise(meta: pathlib.Path | None) -> Promise:
--- a/emulator/replication.py
+++ b/emulator/replication.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 from collections.abc import AsyncIterator
 
@@ -51,7 +52,7 @@
         yield (encode_entries(entries),)
         sent += len(entries)
         if sent == member.log.end:
-            await member.change(HEARTBEAT)
+            await member.changed.wait(HEARTBEAT)
 
 
 class Follower:
@@ -63,6 +64,7 @@
     def __init__(self, member: Member) -> None:
         self._member = member
         self._task: asyncio.Task[None] | None = None
+        self._agreed = asyncio.Event()
         self._receiving: DelayLine[_Batch] = DelayLine(
             member.gate,
             lambda: (
@@ -80,6 +82,7 @@
         :param source: Its ``host:port``.
         """
         self.stop()
+        self._agreed = asyncio.Event()
         self._task = asyncio.create_task(self._run(term, source))
 
     def stop(self) -> None:
@@ -89,6 +92,14 @@
             self._task.cancel()
             self._task = None
 
+    async def settle(self, limit: float) -> None:
+        """Wait until the own log agrees with the primary's.
+
+        :param limit: Greatest time to wait, in seconds.
+        """
+        with contextlib.suppress(asyncio.TimeoutError):
+            await asyncio.wait_for(self._agreed.wait(), limit)
+
     async def _run(self, term: int, source: str) -> None:
         while self._member.may_receive(term):
             await self._member.gate.passage((source,))
@@ -128,6 +139,7 @@
             if not agreed:
                 self._member.truncate(int(frames.pop(0)))
                 agreed = True
+                self._agreed.set()
             for frame in frames:
                 entries = decode_entries(frame)
                 if entries:
--- a/emulator/switches.py
+++ b/emulator/switches.py
@@ -1,11 +1,12 @@
 """Faults and limits that can be changed while a backend server runs."""
 
-import asyncio
 from collections.abc import Collection, Mapping
 from typing import Any
 
 import attrs
 
+from emulator.signals import Signal
+
 EVERYONE = '*'
 
 
@@ -51,7 +52,7 @@
 
     def __init__(self, switches: Switches) -> None:
         self.switches = switches
-        self._changed = asyncio.Event()
+        self.changed = Signal()
 
     def update(self, changes: Mapping[str, Any]) -> None:
         """Change some switches.
@@ -60,8 +61,7 @@
         :raises TypeError: If a name is unknown.
         """
         self.switches = attrs.evolve(self.switches, **changes)
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self.changed.notify()
 
     def open_for(self, names: Collection[str]) -> bool:
         """Tell whether traffic may pass now.
@@ -80,19 +80,9 @@
         :param names: The names of the other end.
         """
         while not self.open_for(names):
-            await self._changed.wait()
+            await self.changed.wait()
 
     async def running(self) -> None:
         """Wait until the process is not frozen."""
         while self.switches.frozen:
-            await self._changed.wait()
-
-    async def changed(self, limit: float) -> None:
-        """Wait until a switch changes.
-
-        :param limit: Greatest time to wait, in seconds.
-        """
-        try:
-            await asyncio.wait_for(self._changed.wait(), limit)
-        except asyncio.TimeoutError:
-            return
+            await self.changed.wait()
--- a/emulator/wire.py
+++ b/emulator/wire.py
@@ -23,7 +23,7 @@
 )
 from mysql_mimic.variables import GlobalVariables, SessionVariables
 
-from emulator import replication, sql, syntax
+from emulator import group, replication, sql, syntax
 from emulator.errors import SqlError
 from emulator.executor import Executor, Outcome
 from emulator.log import Cell
@@ -143,9 +143,11 @@
         self._names = [peer]
         self._kill_other = kill_other
         self._counted = False
+        self._serving: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
+        self._serving = asyncio.current_task()
         try:
             await self._gate.passage(self._names)
             await self.start()
@@ -160,7 +162,8 @@
         :param kind: Ignored; only connections are ended.
         """
         self.stream.writer.transport.abort()
-        super().kill(kind)
+        if self._serving is not None:
+            self._serving.cancel()
 
     async def authenticate(self, username: str, **rest: Any) -> None:
         """Check the connection limit, then log the user in.
@@ -180,7 +183,7 @@
                 await self._write(self._error(exc))
                 raise
             self._counted = True
-        await asyncio.sleep(self._gate.switches.open_ms / 1000)
+        await _pause(self._gate.switches.open_ms)
         self._set_status()
         await super().authenticate(username, **rest)
 
@@ -204,6 +207,7 @@
         """
         await self._arrive()
         await self._depart()
+        self._set_status()
         await super().handle_ping(data)
 
     async def handle_reset_connection(self, data: bytes) -> None:
@@ -214,6 +218,7 @@
         await self._arrive()
         await self.session.reset()
         await self._depart()
+        self._set_status()
         await super().handle_reset_connection(data)
 
     async def _run(self, text: str) -> None:
@@ -230,24 +235,11 @@
         await self._answer(await self.executor.run(statement, text))
 
     async def _run_group(self, statement: syntax.Group) -> None:
-        member = self._service.member
-        numbers = statement.numbers
         if statement.verb == 'stream':
-            await self._stream(numbers[0], numbers[1], statement.text)
-            return
-        if statement.verb == 'wait':
-            await member.wait_change(*numbers)
-            await self._gate.running()
-        elif statement.verb == 'set':
-            member.set_term(numbers[0], statement.text)
-        elif statement.verb == 'promote':
-            member.promote(numbers[0], statement.text)
-        elif statement.verb == 'follow':
-            member.follow(numbers[0], statement.text)
-        row = member.status()
-        columns = [(name, 'text') for name in row]
-        cells = tuple(cell.encode() for cell in row.values())
-        await self._answer(Outcome(columns, [cells]))
+            term, end = statement.numbers
+            await self._stream(term, end, statement.text)
+        else:
+            await self._answer(await group.run(self._service.member, statement))
 
     async def _stream(self, term: int, end: int, starts: str) -> None:
         rows = replication.stream(self._service.member, term, end, starts)
@@ -328,13 +320,18 @@
 
     async def _arrive(self) -> None:
         await self._gate.passage(self._names)
-        await asyncio.sleep(self._gate.switches.delay_ms / 1000)
+        await _pause(self._gate.switches.delay_ms)
 
     async def _depart(self) -> None:
-        await asyncio.sleep(self._gate.switches.delay_ms / 1000)
+        await _pause(self._gate.switches.delay_ms)
         await self._gate.passage(self._names)
 
 
+async def _pause(duration: float) -> None:
+    if duration > 0:
+        await asyncio.sleep(duration / 1000)
+
+
 def _row(cells: Iterable[Cell]) -> bytes:
     return b''.join(
         b'\xfb' if cell is None else str_len(_text(cell)) for cell in cells
--- a/monsoonproxy/databases.py
+++ b/monsoonproxy/databases.py
@@ -4,6 +4,7 @@
 import json
 import re
 import ssl as tls
+import struct
 from collections.abc import Mapping
 from typing import Any
 
@@ -33,6 +34,16 @@
     1040: TooManyConnectionsError,
     3100: TermChangedError,
 }
+#: What the client library raises, also for malformed packets.
+_LIBRARY_ERRORS = (
+    errors.MySQLError,
+    OSError,
+    RuntimeError,
+    ValueError,
+    LookupError,
+    AssertionError,
+    struct.error,
+)
 _POSITION = re.compile(rb'\bterm=(\d+) position=(\d+)')
 
 
@@ -46,6 +57,7 @@
     _stream_broken: bool
     _execute_command: Any
     _read_ok_packet: Any
+    _paused = False
 
     def broken(self) -> bool:
         """Tell whether the connection has already ended.
@@ -79,7 +91,7 @@
 
         :returns: At least one row, or none at the end.
         """
-        self._transport.resume_reading()
+        self._pause(paused=False)
         rows: list[messages.Row] = []
         size = 0
         row = await self._result._read_rowdata_packet_unbuffered()
@@ -90,7 +102,7 @@
                 break
             row = next(iter(self._result._take_pending_rows(1)), None)
         if self.unread():
-            self._transport.pause_reading()
+            self._pause(paused=True)
         return rows
 
     async def reset_session(self) -> None:
@@ -98,6 +110,16 @@
         await self._execute_command(_COM_RESET_CONNECTION, b'')
         await self._read_ok_packet()
 
+    def _pause(self, *, paused: bool) -> None:
+        # Rows that arrived before the connection ended can still be read.
+        if self._stream_broken or self._paused == paused:
+            return
+        self._paused = paused
+        if paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
 
 @attrs.define
 class GroupConnection:
@@ -123,7 +145,7 @@
         self._check()
         try:
             outcome = await self._wire.run(sql)
-        except (errors.MySQLError, OSError, AssertionError) as exc:
+        except _LIBRARY_ERRORS as exc:
             raise self._converted(exc) from exc
         answer = adapters.Answer(
             affected_rows=outcome.affected_rows,
@@ -215,7 +237,7 @@
         self._check()
         try:
             await self._wire.reset_session()
-        except (errors.MySQLError, OSError) as exc:
+        except _LIBRARY_ERRORS as exc:
             raise self._converted(exc) from exc
 
     async def close(self) -> None:
@@ -236,7 +258,7 @@
         while True:
             try:
                 batch = await self._wire.batch()
-            except (errors.MySQLError, OSError) as exc:
+            except _LIBRARY_ERRORS as exc:
                 raise self._converted(exc) from exc
             if not batch:
                 break
@@ -310,7 +332,12 @@
         )
         try:
             await asyncio.wait_for(wire.connect(), seconds(timeout))
-        except (errors.MySQLError, OSError, AssertionError) as exc:
+        except asyncio.TimeoutError as late:
+            wire.close()
+            raise ConnectionLostError(
+                f'{address} did not answer within {timeout} ms'
+            ) from late
+        except _LIBRARY_ERRORS as exc:
             wire.close()
             raise _convert(exc, sent=False) from exc
         return GroupConnection(wire)
--- a/monsoonproxy/platforms.py
+++ b/monsoonproxy/platforms.py
@@ -124,7 +124,8 @@
     ) -> _Reply:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                timeout=aiohttp.ClientTimeout(total=seconds(self.timeout))
+                timeout=aiohttp.ClientTimeout(total=seconds(self.timeout)),
+                middlewares=(_send_once,),
             )
         try:
             async with self._session.request(
@@ -143,6 +144,17 @@
             raise PlatformError(f'{method} {path}: {exc}') from exc
 
 
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    # The library sends a PUT again after a lost answer. If the first one took
+    # effect, the second would be refused with 412, as if by someone else.
+    try:
+        return await handler(request)
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as exc:
+        raise PlatformError(f'{request.method} {request.url}: {exc}') from exc
+
+
 def _path(service: str, key: str) -> str:
     return f'/{service}/{quote(key, safe="")}'
 
