--- a/emulator/service.py
+++ b/emulator/service.py
@@ -20,7 +20,9 @@
     :param refused_connections: Connections refused with error 1040.
     :param reads: Statements run that read.
     :param writes: Statements run that write.
+    :param rows_sent: Rows written to clients.
     :param peak_queue: Greatest number of statements that waited for a slot.
+    :param peak_running: Greatest number of statements that held a slot.
     """
 
     connections: int = 0
@@ -28,7 +30,9 @@
     refused_connections: int = 0
     reads: int = 0
     writes: int = 0
+    rows_sent: int = 0
     peak_queue: int = 0
+    peak_running: int = 0
 
 
 class Service:
@@ -42,7 +46,8 @@
         self.member = member
         self.counters = Counters()
         self._slots = asyncio.Semaphore(slots)
-        self._queue = 0
+        self._queued = 0
+        self._running = 0
 
     def admit(self) -> None:
         """Count a client's new connection.
@@ -87,15 +92,20 @@
 
     @contextlib.asynccontextmanager
     async def _slot(self) -> AsyncIterator[None]:
-        self._queue += 1
-        self.counters.peak_queue = max(self.counters.peak_queue, self._queue)
+        counters = self.counters
+        waits = self._slots.locked()
+        self._queued += waits
+        counters.peak_queue = max(counters.peak_queue, self._queued)
         try:
             await self._slots.acquire()
         finally:
-            self._queue -= 1
+            self._queued -= waits
+        self._running += 1
+        counters.peak_running = max(counters.peak_running, self._running)
         try:
             yield
         finally:
+            self._running -= 1
             self._slots.release()
 
 
--- a/emulator/sql.py
+++ b/emulator/sql.py
@@ -31,10 +31,10 @@
     ('BLOB', 'LONGBLOB', 'MEDIUMBLOB', 'TINYBLOB', 'BINARY', 'VARBINARY')
 )
 _COMPARISONS = frozenset(('=', '<', '>', '<=', '>=', '<>', '!='))
+_CACHED_LENGTH = 500
 _FALSE = frozenset(('0', 'OFF', 'FALSE'))
 
 
-@functools.lru_cache(maxsize=256)
 def parse(sql: str) -> syntax.Statement:
     """Parse a statement.
 
@@ -42,6 +42,11 @@
     :returns: The statement.
     :raises SqlError: If it is outside of the subset.
     """
+    # Long statements hold data and don't come again.
+    return _parse(sql) if len(sql) > _CACHED_LENGTH else _parse_cached(sql)
+
+
+def _parse(sql: str) -> syntax.Statement:
     if ' group ' in sql.lower():
         group = _parse_group(sql)
         if group is not None:
@@ -56,6 +61,9 @@
     return statement
 
 
+_parse_cached = functools.lru_cache(maxsize=256)(_parse)
+
+
 def _parse_group(sql: str) -> syntax.Group | None:
     for verb, form in _GROUP_FORMS:
         match = form.match(sql)
--- a/emulator/wire.py
+++ b/emulator/wire.py
@@ -34,7 +34,7 @@
 CAPABILITIES = (
     DEFAULT_SERVER_CAPABILITIES & ~Capabilities.CLIENT_QUERY_ATTRIBUTES
 )
-_ROWS_PER_WRITE = 200
+_BYTES_PER_WRITE = 64 * 1024
 _TYPES = {
     'int': (ColumnType.LONGLONG, CharacterSet.binary),
     'text': (ColumnType.VAR_STRING, CharacterSet.utf8mb4),
@@ -261,16 +261,20 @@
             return
         self._write_header(outcome.columns)
         batch: list[bytes] = []
+        size = 0
         for row in outcome.rows:
             batch.append(_row(row))
-            if len(batch) == _ROWS_PER_WRITE:
+            size += len(batch[-1])
+            if size >= _BYTES_PER_WRITE:
                 await self._send(batch)
                 batch = []
+                size = 0
         await self._send(batch)
         await self._write(self.ok_or_eof())
 
     async def _send(self, rows: list[bytes]) -> None:
         self.stream.write_many(rows)
+        self._service.counters.rows_sent += len(rows)
         await self.stream.drain()
         # A result whose client is cut off while it is sent stops here.
         await self._gate.passage(self._names)
--- /dev/null
+++ b/tests/stand_ins.py
@@ -0,0 +1,99 @@
+"""Fixtures that start simulated backend servers and platforms."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+from emulator.database import Database, Options
+from emulator.platform import Platform
+from monsoonproxy.clock import Millis
+from monsoonproxy.databases import GroupAdapter, GroupConnection
+from monsoonproxy.exceptions import BackendError
+from monsoonproxy.messages import Row
+from monsoonproxy.platforms import HttpPlatform
+from tests.fixtures import fixture
+
+#: No test waits that long unless something hangs.
+PATIENCE = Millis(20_000)
+
+
+class Group:
+    """Starts backend servers and opens connections to them."""
+
+    def __init__(self) -> None:
+        self.databases: list[Database] = []
+        self._connections: list[GroupConnection] = []
+
+    async def start(self, name: str, **options: Any) -> Database:
+        database = Database(Options(name, **options))
+        await database.start()
+        self.databases.append(database)
+        return database
+
+    async def start_three(self) -> list[Database]:
+        first = await self.start('db1', primary=True)
+        for name in ('db2', 'db3'):
+            await self.start(name, source=first.address)
+        return self.databases
+
+    async def connect(self, database: Database) -> GroupConnection:
+        connection = await GroupAdapter().connect(
+            database.address, user='test', password='', timeout=PATIENCE
+        )
+        self._connections.append(connection)
+        return connection
+
+    async def close(self) -> None:
+        for connection in self._connections:
+            await connection.close()
+        for database in self.databases:
+            database.switch({'frozen': False, 'cut': []})
+            await database.close()
+
+
+@fixture
+async def group() -> AsyncIterator[Group]:
+    """Yield a group without members."""
+    made = Group()
+    yield made
+    await made.close()
+
+
+@fixture
+async def platform() -> AsyncIterator[Platform]:
+    """Yield a running platform."""
+    made = Platform()
+    await made.start()
+    yield made
+    await made.close()
+
+
+@fixture
+async def client(platform: Platform) -> AsyncIterator[HttpPlatform]:
+    """Yield an adapter for the platform."""
+    made = HttpPlatform(platform.url, timeout=PATIENCE)
+    yield made
+    await made.close()
+
+
+async def fetch(connection: GroupConnection, sql: str) -> list[Row]:
+    """Run a statement and return all rows."""
+    answer = await connection.query(sql.encode())
+    return [row async for batch in answer.rows for row in batch]
+
+
+async def error_code(connection: GroupConnection, sql: str) -> int:
+    """Run a statement and return the code of its error, 0 if none."""
+    try:
+        await fetch(connection, sql)
+    except BackendError as exc:
+        return exc.code
+    return 0
+
+
+async def received(connection: GroupConnection, offset: int) -> None:
+    """Wait until a member has received and applied an offset."""
+    report = await connection.status()
+    while min(report.received, report.applied) < offset:
+        report = await connection.wait_change(
+            report.received, report.applied, PATIENCE
+        )
--- /dev/null
+++ b/tests/test_databases.py
@@ -0,0 +1,203 @@
+"""Tests of the database adapter, against the simulated backend server."""
+
+import asyncio
+import socket
+
+from emulator.database import Database
+from monsoonproxy import adapters
+from monsoonproxy.exceptions import (
+    BackendError,
+    ConnectionLostError,
+    TermChangedError,
+    TooManyConnectionsError,
+)
+from monsoonproxy.models import Position
+from tests.fixtures import load_functions
+from tests.stand_ins import PATIENCE, Group, fetch
+
+load_tests = load_functions(__name__)
+
+_TABLE = 'CREATE TABLE t (id INT PRIMARY KEY, v TEXT, b BLOB)'
+_BIG = 500_000
+
+
+async def _raised(waiting: object, kind: type[Exception]) -> Exception:
+    try:
+        await waiting  # type: ignore[misc]
+    except kind as exc:
+        return exc
+    raise AssertionError(f'{kind.__name__} was not raised')
+
+
+def _fill(primary: Database, rows: int) -> None:
+    # One shared value keeps the table itself small.
+    value = b'x' * _BIG
+    transaction = primary.member.transactions.begin(0)
+    for key in range(rows):
+        transaction.view.changes[('t', (key,))] = (key, value, None)
+    primary.member.commit(transaction)
+
+
+async def test_values_byte_exact(group: Group) -> None:
+    """Guards against values that change between database and caller."""
+    connection = await group.connect(await group.start('db1', primary=True))
+    await fetch(connection, _TABLE)
+    binary = bytes(range(256))
+    text = 'é漢字🌧\n\t'.encode()
+    await connection.query(
+        b"INSERT INTO t VALUES (1, '%s', 0x%s), (-2, NULL, '\xff\\'')"
+        % (text, binary.hex().encode())
+    )
+    answer = await connection.query(b'SELECT * FROM t')
+    rows = [row async for batch in answer.rows for row in batch]
+    assert rows == [[b'1', text, binary], [b'-2', None, b"\xff'"]]
+    assert [column.name for column in answer.columns] == ['id', 'v', 'b']
+    assert [column.charset for column in answer.columns] == [63, 255, 63]
+
+
+async def test_answer_of_a_write(group: Group) -> None:
+    """Guards against a commit without its position or counts."""
+    connection = await group.connect(await group.start('db1', primary=True))
+    await fetch(
+        connection, 'CREATE TABLE a (id INT AUTO_INCREMENT PRIMARY KEY)'
+    )
+    answer = await connection.query(b'INSERT INTO a VALUES (NULL), (NULL)')
+    assert (answer.affected_rows, answer.insert_id) == (2, 1)
+    assert answer.position == Position(1, 3)
+    answer = await connection.query(b'BEGIN')
+    assert answer.in_transaction
+    answer = await connection.query(b'DELETE FROM a WHERE id = 1')
+    assert (answer.affected_rows, answer.position) == (1, None)
+    answer = await connection.query(b'COMMIT')
+    assert (answer.in_transaction, answer.position) == (False, Position(1, 4))
+
+
+async def test_large_result_streamed(group: Group) -> None:
+    """Guards against a large result that fills the memory."""
+    primary = await group.start('db1', primary=True)
+    connection = await group.connect(primary)
+    await fetch(connection, _TABLE)
+    _fill(primary, 200)
+    answer = await connection.query(b'SELECT * FROM t')
+    keys = []
+    async for batch in answer.rows:
+        if not keys:
+            await asyncio.sleep(0.2)
+            assert primary.service.counters.rows_sent < 200
+        keys += [row[0] for row in batch]
+        size = sum(len(row[1] or b'') for row in batch)
+        assert size < adapters.BATCH_BYTES + _BIG
+    assert keys == [str(key).encode() for key in range(200)]
+    assert await fetch(connection, 'SELECT 1') == [[b'1']]
+
+
+async def test_many_small_rows(group: Group) -> None:
+    """Guards against lost rows or oversized batches of small rows."""
+    connection = await group.connect(await group.start('db1', primary=True))
+    await fetch(connection, _TABLE)
+    rows = ', '.join(f"({key}, 'v', NULL)" for key in range(2000))
+    await fetch(connection, f'INSERT INTO t VALUES {rows}')
+    answer = await connection.query(b'SELECT id FROM t ORDER BY id')
+    batches = [batch async for batch in answer.rows]
+    assert max(map(len, batches)) <= adapters.BATCH_ROWS
+    assert sum(map(len, batches)) == 2000
+
+
+async def test_lost_while_reading(group: Group) -> None:
+    """Guards against a part of a result that passes as the whole."""
+    primary = await group.start('db1', primary=True)
+    connection = await group.connect(primary)
+    await fetch(connection, _TABLE)
+    _fill(primary, 200)
+    answer = await connection.query(b'SELECT * FROM t')
+    assert await anext(answer.rows)
+    await primary.kill(connection.connection_id)
+
+    async def rest() -> None:
+        async for _batch in answer.rows:
+            await asyncio.sleep(0)
+
+    lost = await _raised(rest(), ConnectionLostError)
+    assert isinstance(lost, ConnectionLostError) and lost.sent
+
+
+async def test_lost_during_a_statement(group: Group) -> None:
+    """Guards against a lost connection reported as `not sent`."""
+    primary = await group.start('db1', primary=True)
+    connection = await group.connect(primary)
+    waiting = asyncio.create_task(connection.query(b'SELECT SLEEP(60)'))
+    while not primary.service.counters.reads:
+        await asyncio.sleep(0.01)
+    await primary.kill(connection.connection_id)
+    lost = await _raised(waiting, ConnectionLostError)
+    assert isinstance(lost, ConnectionLostError) and lost.sent
+    again = await _raised(connection.query(b'SELECT 1'), ConnectionLostError)
+    assert isinstance(again, ConnectionLostError) and not again.sent
+
+
+async def test_refused_and_silent(group: Group) -> None:
+    """Guards against mixing up a dead process and a silent one."""
+    adapter = adapters.databases.get('group')()
+    assert adapter.fences
+    with socket.socket() as unused:
+        unused.bind(('127.0.0.1', 0))
+        address = f'127.0.0.1:{unused.getsockname()[1]}'
+        refused = await _raised(
+            adapter.connect(address, user='', password='', timeout=PATIENCE),
+            ConnectionLostError,
+        )
+    assert isinstance(refused, ConnectionLostError) and refused.refused
+    frozen = await group.start('db1', primary=True)
+    frozen.switch({'frozen': True})
+    silent = await _raised(
+        adapter.connect(frozen.address, user='', password='', timeout=50),
+        ConnectionLostError,
+    )
+    assert isinstance(silent, ConnectionLostError) and not silent.refused
+
+
+async def test_connection_limit(group: Group) -> None:
+    """Guards against 1040 passing as a dead server, and against leaks."""
+    primary = await group.start('db1', primary=True)
+    primary.switch({'connection_limit': 2})
+    first, _second = [await group.connect(primary) for _ in range(2)]
+    await _raised(group.connect(primary), TooManyConnectionsError)
+    counters = primary.service.counters
+    assert (counters.peak_connections, counters.refused_connections) == (2, 1)
+    await first.close()
+    while counters.connections == 2:
+        await asyncio.sleep(0.01)
+    await group.connect(primary)
+
+
+async def test_errors(group: Group) -> None:
+    """Guards against errors that lose their code or their type."""
+    primary = await group.start('db1', primary=True)
+    connection = await group.connect(primary)
+    await fetch(connection, _TABLE)
+    await fetch(connection, "INSERT INTO t VALUES (1, 'a', '')")
+    duplicate = await _raised(
+        connection.query(b"INSERT INTO t VALUES (1, 'a', '')"), BackendError
+    )
+    assert isinstance(duplicate, BackendError)
+    assert (duplicate.code, duplicate.sqlstate) == (1062, '23000')
+    await connection.query(b'BEGIN')
+    await connection.query(b'DELETE FROM t WHERE id = 1')
+    await (await group.connect(primary)).set_term(2, 'c')
+    await _raised(connection.query(b'COMMIT'), TermChangedError)
+
+
+async def test_reset(group: Group) -> None:
+    """Guards against a transaction that the next session inherits."""
+    primary = await group.start('db1', primary=True)
+    connection = await group.connect(primary)
+    await fetch(connection, _TABLE)
+    await fetch(connection, 'SET autocommit = 0')
+    await fetch(connection, "INSERT INTO t VALUES (1, 'a', '')")
+    await connection.reset()
+    answer = await connection.query(b"INSERT INTO t VALUES (2, 'b', '')")
+    assert not answer.in_transaction
+    assert await fetch(connection, 'SELECT id FROM t') == [[b'2']]
+    await connection.kill(999_999)
+    await connection.query(b'SELECT * FROM t')
+    await _raised(connection.reset(), ConnectionLostError)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,81 @@
+"""Tests of the simulated platform and of the adapter for it."""
+
+from emulator.platform import Platform
+from monsoonproxy.adapters import platforms
+from monsoonproxy.exceptions import PlatformError, PreconditionError
+from monsoonproxy.models import Host, HostState
+from monsoonproxy.platforms import HttpPlatform
+from tests.fixtures import load_functions
+
+load_tests = load_functions(__name__)
+
+_HOST = {
+    'address': '127.0.0.1:7000',
+    'availability_zone': 'north',
+    'state': 'leaving',
+}
+
+
+async def _fails(waiting: object, kind: type[Exception]) -> None:
+    try:
+        await waiting  # type: ignore[misc]
+    except PlatformError as exc:
+        assert type(exc) is kind, repr(exc)
+        return
+    raise AssertionError(f'{kind.__name__} was not raised')
+
+
+async def test_conditional_write(client: HttpPlatform) -> None:
+    """Guards against a write that overwrites another operator's."""
+    assert await client.read('a/ü') is None
+    first = await client.write('a/ü', b'\x00one', None)
+    stored = await client.read('a/ü')
+    assert stored is not None
+    assert (stored.etag, stored.body) == (first, b'\x00one')
+    await _fails(client.write('a/ü', b'two', None), PreconditionError)
+    second = await client.write('a/ü', b'two', first)
+    await _fails(client.write('a/ü', b'three', first), PreconditionError)
+    await _fails(client.write('b', b'three', first), PreconditionError)
+    # The same content written again is another version.
+    assert await client.write('a/ü', b'two', second) != second
+
+
+async def test_lost_answer(platform: Platform, client: HttpPlatform) -> None:
+    """Guards against a lost answer passing as a refusal or a second write."""
+    etag = await client.write('key', b'one', None)
+    platform.switch({'lose_answers': 1})
+    await _fails(client.write('key', b'two', etag), PlatformError)
+    assert platform.table['key'] == b'two'
+    assert platform.counters.writes == 2
+    stored = await client.read('key')
+    assert stored is not None and stored.body == b'two'
+
+
+async def test_outage(platform: Platform, client: HttpPlatform) -> None:
+    """Guards against an outage that blocks or passes as a missing key."""
+    platform.switch({'down': True})
+    await _fails(client.read('key'), PlatformError)
+    platform.switch({'down': False, 'hung': True})
+    impatient = platforms.get('http')(platform.url, timeout=50)
+    await _fails(impatient.read('key'), PlatformError)
+    await impatient.close()
+    platform.switch({'hung': False})
+    assert await client.read('key') is None
+
+
+async def test_objects(client: HttpPlatform) -> None:
+    """Guards against objects that change in the store."""
+    assert await client.get_object('report') is None
+    await client.put_object('report', bytes(range(256)))
+    assert await client.get_object('report') == bytes(range(256))
+
+
+async def test_late_host_list(platform: Platform, client: HttpPlatform) -> None:
+    """Guards against a host list that is never late."""
+    platform.switch({'hosts_late_ms': 3_600_000})
+    platform.set_hosts([_HOST])
+    assert not await client.hosts()
+    platform.switch({'hosts_late_ms': 0})
+    assert await client.hosts() == [
+        Host('127.0.0.1:7000', 'north', HostState.LEAVING)
+    ]
