--- a/emulator/platform.py
+++ b/emulator/platform.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from emulator.control import address_of, serve
+from emulator.signals import Signal
 
 HostList = list[dict[str, str]]
 _Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -20,7 +21,8 @@
     """Faults of the platform; all times are in ms.
 
     :param down: Whether connections are closed without an answer.
-    :param hung: Whether requests are taken but never answered.
+    :param hung: Whether requests wait until this is turned off; writes take
+        effect then, even if their senders have given up.
     :param slow_ms: Added to every request.
     :param lose_answers: How many of the next writes take effect without
         their answers being sent.
@@ -65,6 +67,7 @@
         self.counters = PlatformCounters()
         self.table: dict[str, bytes] = {}
         self.objects: dict[str, bytes] = {}
+        self._changed = Signal()
         self._versions: dict[str, int] = {}
         self._lists: list[tuple[float, HostList]] = [(0, [])]
         self._endpoint = (host, port)
@@ -122,6 +125,7 @@
         :raises TypeError: If a name is unknown.
         """
         self.switches = attrs.evolve(self.switches, **changes)
+        self._changed.notify()
 
     def _faulty(self, handler: _Handler) -> _Handler:
         async def handle(request: web.Request) -> web.StreamResponse:
@@ -129,11 +133,11 @@
                 self.counters.reads += 1
             else:
                 self.counters.writes += 1
-            if self.switches.hung:
-                await _never()
+            while self.switches.hung:
+                await self._changed.wait()
             await asyncio.sleep(self.switches.slow_ms / 1000)
             if self.switches.down:
-                _drop(request)
+                return _dropped(request)
             return await handler(request)
 
         return handle
@@ -154,8 +158,7 @@
             raise web.HTTPPreconditionFailed
         self.table[key] = body
         self._versions[key] = self._versions.get(key, 0) + 1
-        self._maybe_lose(request)
-        return web.Response(headers={'ETag': self._etag(key)})
+        return self._written(request, {'ETag': self._etag(key)})
 
     async def _get_object(self, request: web.Request) -> web.Response:
         key = request.match_info['key']
@@ -166,8 +169,7 @@
     async def _put_object(self, request: web.Request) -> web.Response:
         body = await request.read()
         self.objects[request.match_info['key']] = body
-        self._maybe_lose(request)
-        return web.Response()
+        return self._written(request, {})
 
     async def _hosts(self, request: web.Request) -> web.Response:
         limit = time.monotonic() - self.switches.hosts_late_ms / 1000
@@ -205,18 +207,18 @@
         digest = hashlib.sha256(self.table[key]).hexdigest()[:16]
         return f'"{version}-{digest}"'
 
-    def _maybe_lose(self, request: web.Request) -> None:
+    def _written(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.Response:
         if self.switches.lose_answers > 0:
             self.switches.lose_answers -= 1
             self.counters.lost_answers += 1
-            _drop(request)
-
-
-async def _never() -> None:
-    await asyncio.Event().wait()
+            return _dropped(request)
+        return web.Response(headers=headers)
 
 
-def _drop(request: web.Request) -> None:
+def _dropped(request: web.Request) -> web.Response:
     if request.transport is not None:
         request.transport.abort()
-    raise ConnectionResetError
+    # The server needs a response, but can't send it any more.
+    return web.Response()
--- a/emulator/wire.py
+++ b/emulator/wire.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import logging
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
@@ -29,6 +30,9 @@
 from emulator.log import Cell
 from emulator.service import Service
 
+# The library logs a stack trace for each client that goes away.
+logging.getLogger('mysql_mimic').setLevel(logging.CRITICAL)
+
 #: Without query attributes, the rest of a COM_QUERY packet is the statement's
 #: bytes, which need not be valid in any character set.
 CAPABILITIES = (
