--- a/emulator/delays.py
+++ b/emulator/delays.py
@@ -50,7 +50,8 @@
     async def close(self) -> None:
         """Drop all items and end the task."""
         self.clear()
-        task, self._task = self._task, None
+        task = self._task
+        self._task = None
         if task is not None:
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
@@ -61,7 +62,7 @@
             arrived = self._waiting[0][0] if self._waiting else 0
             left = arrived + self._delay() / 1000 - time.monotonic()
             if left > 0:
-                await self._gate.changed(left)
+                await self._gate.changed.wait(left)
             elif self._waiting:
                 self._deliver(self._waiting.popleft()[1])
         self._task = None
--- a/emulator/replication.py
+++ b/emulator/replication.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 from collections.abc import AsyncIterator
 
@@ -25,6 +26,9 @@
 _RETRY_DELAY = 0.05
 _BATCH_ENTRIES = 200
 
+#: The term that a follower follows, and entries of the primary.
+_Batch = tuple[int, list[Entry]]
+
 
 async def stream(
     member: Member, term: int, end: int, starts: str
@@ -48,7 +52,7 @@
         yield (encode_entries(entries),)
         sent += len(entries)
         if sent == member.log.end:
-            await member.change(HEARTBEAT)
+            await member.changed.wait(HEARTBEAT)
 
 
 class Follower:
@@ -60,7 +64,8 @@
     def __init__(self, member: Member) -> None:
         self._member = member
         self._task: asyncio.Task[None] | None = None
-        self._receiving: DelayLine[tuple[int, list[Entry]]] = DelayLine(
+        self._agreed = asyncio.Event()
+        self._receiving: DelayLine[_Batch] = DelayLine(
             member.gate,
             lambda: (
                 member.gate.switches.receive_lag_ms
@@ -77,6 +82,7 @@
         :param source: Its ``host:port``.
         """
         self.stop()
+        self._agreed = asyncio.Event()
         self._task = asyncio.create_task(self._run(term, source))
 
     def stop(self) -> None:
@@ -86,6 +92,14 @@
             self._task.cancel()
             self._task = None
 
+    async def settle(self, limit: float) -> None:
+        """Wait until the own log agrees with the primary's.
+
+        :param limit: Greatest time to wait, in seconds.
+        """
+        with contextlib.suppress(asyncio.TimeoutError):
+            await asyncio.wait_for(self._agreed.wait(), limit)
+
     async def _run(self, term: int, source: str) -> None:
         while self._member.may_receive(term):
             await self._member.gate.passage((source,))
@@ -125,12 +139,13 @@
             if not agreed:
                 self._member.truncate(int(frames.pop(0)))
                 agreed = True
+                self._agreed.set()
             for frame in frames:
                 entries = decode_entries(frame)
                 if entries:
                     self._receiving.put((term, entries))
 
-    def _receive(self, batch: tuple[int, list[Entry]]) -> None:
+    def _receive(self, batch: _Batch) -> None:
         term, entries = batch
         if self._member.may_receive(term):
             self._member.receive(entries)
--- a/emulator/sql.py
+++ b/emulator/sql.py
@@ -31,10 +31,10 @@
     ('BLOB', 'LONGBLOB', 'MEDIUMBLOB', 'TINYBLOB', 'BINARY', 'VARBINARY')
 )
 _COMPARISONS = frozenset(('=', '<', '>', '<=', '>=', '<>', '!='))
+_CACHED_LENGTH = 500
 _FALSE = frozenset(('0', 'OFF', 'FALSE'))
 
 
-@functools.lru_cache(maxsize=256)
 def parse(sql: str) -> syntax.Statement:
     """Parse a statement.
 
@@ -42,6 +42,11 @@
     :returns: The statement.
     :raises SqlError: If it is outside of the subset.
     """
+    # Long statements hold data and don't come again.
+    return _parse(sql) if len(sql) > _CACHED_LENGTH else _parse_cached(sql)
+
+
+def _parse(sql: str) -> syntax.Statement:
     if ' group ' in sql.lower():
         group = _parse_group(sql)
         if group is not None:
@@ -56,6 +61,9 @@
     return statement
 
 
+_parse_cached = functools.lru_cache(maxsize=256)(_parse)
+
+
 def _parse_group(sql: str) -> syntax.Group | None:
     for verb, form in _GROUP_FORMS:
         match = form.match(sql)
@@ -279,24 +287,13 @@
     raise syntax_error(repr(cell))
 
 
-def _begin(cursor: Cursor) -> syntax.Control:
-    _skip(cursor)
-    return syntax.Control('begin')
-
-
-def _commit(cursor: Cursor) -> syntax.Control:
-    _skip(cursor)
-    return syntax.Control('commit')
-
+def _control(word: str) -> Callable[[Cursor], syntax.Statement]:
+    def parser(cursor: Cursor) -> syntax.Control:
+        while cursor.token.kind != 'end':
+            cursor.take()
+        return syntax.Control(word)
 
-def _rollback(cursor: Cursor) -> syntax.Control:
-    _skip(cursor)
-    return syntax.Control('rollback')
-
-
-def _nothing(cursor: Cursor) -> syntax.Control:
-    _skip(cursor)
-    return syntax.Control('nothing')
+    return parser
 
 
 def _set(cursor: Cursor) -> syntax.Statement:
@@ -305,7 +302,7 @@
         cursor.take()
         cursor.expect('=')
         return syntax.SetAutocommit(cursor.take().text.upper() not in _FALSE)
-    return _nothing(cursor)
+    return _control('nothing')(cursor)
 
 
 def _kill(cursor: Cursor) -> syntax.Kill:
@@ -313,22 +310,17 @@
     return syntax.Kill(_whole(cursor))
 
 
-def _skip(cursor: Cursor) -> None:
-    while cursor.token.kind != 'end':
-        cursor.take()
-
-
 _PARSERS: dict[str, Callable[[Cursor], syntax.Statement]] = {
     'CREATE': _create,
     'INSERT': _insert,
     'UPDATE': _update,
     'DELETE': _delete,
     'SELECT': _select,
-    'BEGIN': _begin,
-    'START': _begin,
-    'COMMIT': _commit,
-    'ROLLBACK': _rollback,
+    'BEGIN': _control('begin'),
+    'START': _control('begin'),
+    'COMMIT': _control('commit'),
+    'ROLLBACK': _control('rollback'),
     'SET': _set,
-    'USE': _nothing,
+    'USE': _control('nothing'),
     'KILL': _kill,
 }
