--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,10 +1,10 @@
 """Tests of data ages and the choice of backend servers for reads."""
 
 import bisect
-from typing import TypeAlias
+import random
 
 import attrs
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from monsoonproxy.clock import Millis
@@ -53,71 +53,83 @@
 
 
 _times = st.integers(0, _END)
-_delays = st.integers(0, 60)
-_History: TypeAlias = tuple[list[int], list[tuple[int, int]]]
-_history = st.tuples(
-    st.lists(_times, max_size=30).map(sorted),
-    st.lists(st.tuples(_times, st.integers(0, 30)), max_size=20),
-)
-_polls = st.lists(
-    st.tuples(st.sampled_from('pr'), _times, _delays, _delays), max_size=40
-)
 
 
-def _applied(history: _History, time: int) -> int:
-    commits, steps = history
-    wanted = max([offset for at, offset in steps if at <= time], default=0)
-    return min(wanted, bisect.bisect_right(commits, time))
+class _History:
+    """Commits on a primary and a replica that applies them irregularly."""
 
+    def __init__(self, rng: random.Random) -> None:
+        self.commits = sorted(rng.choices(range(_END), k=rng.randint(1, 120)))
+        self.applied = [0]
+        for now in range(1, 2 * _END):
+            behind = self.committed(now) - self.applied[-1]
+            step = rng.choice((0, 0, 1, 1, behind))
+            self.applied.append(self.applied[-1] + min(step, behind))
 
-def _true_age(commits: list[int], offset: int, now: int) -> int:
-    return max(0, now - commits[offset]) if offset < len(commits) else 0
+    def committed(self, time: int) -> int:
+        return bisect.bisect_right(self.commits, time)
+
+    def age(self, offset: int, now: int) -> int:
+        missing = [*self.commits, now][offset]
+        return max(0, now - missing)
 
 
 def _check_read(
-    router: Router, history: _History, now: int, draw: st.DataObject
-) -> None:
-    floor = Position(1, draw.draw(st.integers(0, 30)))
-    max_age = draw.draw(st.integers(0, 200))
+    router: Router, history: _History, now: int, rng: random.Random
+) -> bool:
+    floor = Position(1, max(0, history.committed(now) - rng.randint(0, 9)))
+    max_age = rng.randint(0, 60)
     choice = router.choose_read(_read(max_age, floor), _LOAD, Millis(now))
     if not isinstance(choice, Route) or choice.server == 'p':
-        return
-    run_at = now + draw.draw(st.integers(0, 20))
-    done = run_at + draw.draw(st.integers(0, 20))
-    if router.still_valid(choice, max_age, floor, Millis(done)):
-        applied = _applied(history, run_at)
-        assert _true_age(history[0], applied, done) <= max_age
-        assert applied >= floor.offset
-
-
-@given(_history, _polls, st.lists(_times, max_size=8), st.data())
-def test_age_never_understated(
-    history: _History,
-    polls: list[tuple[str, int, int, int]],
-    confirmations: list[int],
-    draw: st.DataObject,
-) -> None:
+        return False
+    run_at = now + rng.randint(0, 20)
+    done = run_at + rng.randint(0, 20)
+    if not router.still_valid(choice, max_age, floor, Millis(done)):
+        return False
+    applied = history.applied[run_at]
+    assert history.age(applied, done) <= max_age
+    assert applied >= floor.offset
+    return True
+
+
+@settings(max_examples=60)
+@given(st.integers(0, 1 << 32))
+def test_age_never_understated(seed: int) -> None:
     """Guards against late or reordered reports that make data look fresher."""
-    commits, _ = history
-    router = _router(max_samples=8, resolution=4)
-    events = [
-        (state + after, name, state, max(0, state - before))
-        for name, state, before, after in polls
-    ]
-    events += [(at, 'confirm', at, at) for at in confirmations]
-    for now, name, state, sent_at in sorted(events):
-        if name == 'confirm':
-            router.set_group(1, 'p', Millis(max(0, now - 5)), Millis(now))
-            continue
-        offset = _applied(history, state)
+    rng = random.Random(seed)
+    history = _History(rng)
+    router = _router(max_samples=rng.choice((4, 8, 500)), resolution=4)
+    polls = []
+    for state in rng.choices(range(_END), k=300):
+        arrival = state + rng.randint(0, rng.choice((2, 40)))
+        sent_at = state - rng.randint(0, rng.choice((2, 40)))
+        polls.append((arrival, rng.choice('pr'), state, max(0, sent_at)))
+    for now, name, state, sent_at in sorted(polls):
+        offset = history.applied[state]
         if name == 'p':
-            offset = bisect.bisect_right(commits, state)
+            offset = history.committed(state)
         report = _report(name, offset)
         router.observe(name, report, Millis(sent_at), Millis(now))
+        router.set_group(1, 'p', Millis(now), Millis(now))
         age = router.age('r', Millis(now))
-        true_age = _true_age(commits, _applied(history, now), now)
+        true_age = history.age(history.applied[now], now)
         assert age is None or age >= true_age
-        _check_read(router, history, now, draw)
+        _check_read(router, history, now, rng)
+
+
+def test_unconfirmed_primary_ages_replicas() -> None:
+    """Guards against an isolated primary that makes its replicas look fresh."""
+    router = _caught_up()
+    for now in range(101, 200):
+        router.observe('p', _report('p', 7), Millis(now - 1), Millis(now))
+    assert router.age('r', Millis(200)) == 100
+
+
+def test_overlapping_report_is_not_a_loss() -> None:
+    """Guards against a late report that hides progress already seen."""
+    router = _caught_up()
+    router.observe('r', _report('r', 5), Millis(99), Millis(103))
+    assert router.age('r', Millis(103)) == 5
 
 
 @given(st.lists(st.tuples(_times, st.integers(0, 99)), max_size=200))
@@ -251,3 +263,17 @@
     assert not router.still_valid(route, 0, None, Millis(110))
     router.set_group(1, 'p', Millis(110), Millis(113))
     assert router.still_valid(route, 0, None, Millis(110))
+
+
+def test_progress_after_the_choice_does_not_count() -> None:
+    """Guards against an answer judged by what its replica applied later."""
+    router = _caught_up()
+    route = router.choose_read(_read(12), _LOAD, Millis(101))
+    assert isinstance(route, Route)
+    for name in 'prs':
+        router.observe(name, _report(name, 8), Millis(110), Millis(112))
+    router.set_group(1, 'p', Millis(112), Millis(112))
+    assert router.age(route.server, Millis(113)) == 3
+    assert not router.still_valid(route, 12, Position(1, 7), Millis(113))
+    assert router.still_valid(route, 15, Position(1, 7), Millis(113))
+    assert not router.still_valid(route, 15, Position(1, 8), Millis(113))
