Count the fraction of a ms that the clock drops as age

Times are truncated to whole ms, so an age could be understated by up to 1 ms, and a confirmation sent shortly before an answer could count as sent after it.

--- a/monsoonproxy/admission.py
+++ b/monsoonproxy/admission.py
@@ -117,7 +117,7 @@
         self._backlog = Backlog(rules.width, rules.queue_limit)
         self._ejected: list[Ejected] = []
         self._places: dict[int, str] = {}
-        self._return_at: float = 0
+        self._return_at: dict[bool, float] = {True: 0, False: 0}
 
     def __len__(self) -> int:
         """Return the length of the queue.
@@ -336,11 +336,18 @@
         Each refusal books the time that serving it will take, so that the
         callers come back no faster than they can be served.
         """
-        slots = max(1, sum(one.slots for one in self._servers.values()))
-        drained = now + self._backlog.total / slots
-        self._return_at = max(self._return_at, drained) + entry.cost / slots
+        lane = self._backlog.lane(entry.ticket)
+        slots = self._primary_slots
+        work = lane.total
+        if lane is self._backlog.shared:
+            slots = sum(server.slots for server in self._servers.values())
+            work = self._backlog.total
+        slots = max(1, slots)
+        own = lane is self._backlog.own
+        booked = max(self._return_at[own], now + work / slots)
+        self._return_at[own] = booked + entry.cost / slots
         spread = 1 + self._rng.random() * self._rules.retry_spread
-        after = (self._return_at - now) * spread + self._rng.random() * 10
+        after = (booked - now) * spread + self._rng.random() * 10
         return Refused(
             reason,
             Millis(max(1, min(self._rules.max_retry_after, int(after)))),
--- a/monsoonproxy/freshness.py
+++ b/monsoonproxy/freshness.py
@@ -8,6 +8,9 @@
 from monsoonproxy.models import BackendReport, Position, Role
 from monsoonproxy.samples import Samples
 
+# The clock drops fractions of a ms, so that now is up to this much later.
+TICK = 1
+
 
 @attrs.define
 class Member:
@@ -168,7 +171,7 @@
             fresh: int | None = self._confirmed_at
         else:
             fresh = self._fresh_until(applied_offset(member))
-        return None if fresh is None else max(0, now - fresh)
+        return None if fresh is None else max(0, now + TICK - fresh)
 
     def _take_position(
         self, name: str, report: BackendReport, sent_at: Millis
--- a/monsoonproxy/routing.py
+++ b/monsoonproxy/routing.py
@@ -7,7 +7,7 @@
 import attrs
 
 from monsoonproxy.clock import Millis
-from monsoonproxy.freshness import Freshness, applied_offset
+from monsoonproxy.freshness import TICK, Freshness, applied_offset
 from monsoonproxy.models import Position
 from monsoonproxy.samples import Samples
 
@@ -181,8 +181,9 @@
     ) -> bool:
         """Tell whether an answer that is in hand may be returned.
 
-        A bound of 0 needs a confirmation sent after the answer arrived, so
-        the question is to be asked again, with the same ``now``, after it.
+        A bound of 0 needs a confirmation sent after the answer arrived, at
+        ``now + 1`` by the clock that drops fractions. The question is to be
+        asked again after it, with the same ``now``.
 
         :param route: The choice that led to the answer.
         :param max_age: Greatest age of the data in ms.
@@ -200,7 +201,7 @@
             return False
         else:
             fresh = self._fresh_until(route.applied)
-        return fresh is not None and now - fresh <= max_age
+        return fresh is not None and now + TICK - fresh <= max_age
 
     def _candidate(
         self,
@@ -216,7 +217,7 @@
         fresh = self._fresh_until(applied_offset(member))
         if fresh is None:
             return _Candidate(name, _NEVER, _NEVER)
-        missing = max(0, now + flight - req.max_age - fresh)
+        missing = max(0, now + TICK + flight - req.max_age - fresh)
         if applied_offset(member) < floor:
             missing = max(missing, self._floor_gap(floor, fresh, now))
         ready_at = now + missing / max(member.pace, _MIN_PACE)
