--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -210,3 +210,20 @@
     admission.update_servers({'r': 2, 's': 2}, 'r')
     starts = admission.next_ready(Millis(2000), lambda _ticket, _loads: 'r')
     assert [start.server for start in starts] == ['r']
+
+
+def test_displacing_must_pay() -> None:
+    """Guards against several enquiries lost for one long confirmation."""
+    admission = _admission()
+    admission.update_servers({'p': 2}, 'p')
+    for number, write in enumerate((True, False) * 100):
+        ticket = _ticket(number, 0, write=write)
+        admission.started(ticket, 'p', Millis(0))
+        admission.finished(ticket, 20 if write else 5, Millis(0))
+    for number in range(100):
+        admission.offer(_ticket(number, 100), Millis(0))
+    before = len(admission)
+    write = _ticket(1000, 100, write=True)
+    assert isinstance(admission.offer(write, Millis(0)), Refused)
+    assert admission.expired(Millis(0)) == []
+    assert len(admission) == before
