Bound how long a poll of the primary waits

Cause: a long poll of an idle primary tells the state at its end but counts with the time at which it was sent; between two writes at 60 per s there was no usable sample. With constant lag, 5% of the limit was 23 ms at the edge of a bound of 500 ms, more than the round trip and the clock step together.

--- a/emulator/experiment_routing.py
+++ b/emulator/experiment_routing.py
@@ -59,8 +59,6 @@
     :param lag: Lag in ms.
     :param policy: Who chooses the backend servers.
     :param seed: Seed of all random numbers.
-    :param timeout: Longest wait of a long poll.
-    :param pause: Pause between polls.
     """
 
     size: Deployment
@@ -68,8 +66,6 @@
     lag: float
     policy: str
     seed: int
-    timeout: float = 20
-    pause: float = 0
 
 
 @attrs.define
@@ -94,9 +90,7 @@
         shapes = (lags[0], lags[1])
         self.group = VirtualGroup(self.sim, trial.size, shapes, until)
         self.router = Router('prs', RoutingRules())
-        self.observer = Observer(
-            self.sim, self.group, self.router, trial.timeout, trial.pause
-        )
+        self.observer = Observer(self.sim, self.group, self.router)
         self.running = dict.fromkeys('prs', 0)
         self.reads: list[_Read] = []
         self.fresh: list[str] = []
--- a/emulator/virtual_group.py
+++ b/emulator/virtual_group.py
@@ -157,8 +157,6 @@
     :param sim: The simulation.
     :param group: The group.
     :param router: What it tells the reports to.
-    :param timeout: Longest wait of a long poll in ms.
-    :param pause: Pause between a report and the next poll in ms.
     """
 
     def __init__(
@@ -166,13 +164,9 @@
         sim: Simulation,
         group: VirtualGroup,
         router: Router,
-        timeout: float,
-        pause: float,
     ) -> None:
         self._sim = sim
         self._router = router
-        self._timeout = timeout
-        self._pause = pause
         self._answered = dict.fromkeys(group.servers, Millis(-1))
         self.polls = 0
         router.set_group(1, 'p', None, sim.now)
@@ -181,6 +175,7 @@
 
     def _poll(self, server: VirtualServer, known: tuple[int, int]) -> None:
         sent_at = self._sim.now
+        timeout = self._router.poll_timeout(server.name)
         answered = False
 
         def answer() -> None:
@@ -197,7 +192,7 @@
                 answer()
                 return
             server.wait(answer)
-            self._sim.after(self._timeout, answer)
+            self._sim.after(timeout, answer)
 
         self.polls += 1
         self._sim.after(HOP, arrive)
@@ -211,4 +206,4 @@
         confirmed = sorted(self._answered.values())[1]
         self._router.set_group(1, 'p', confirmed, now)
         known = (report.received, report.applied)
-        self._sim.after(self._pause, lambda: self._poll(server, known))
+        self._poll(server, known)
--- a/monsoonproxy/routing.py
+++ b/monsoonproxy/routing.py
@@ -35,6 +35,9 @@
     :param spill_wait: How much later than the primary a replica may answer
         before a read goes to the primary for its load alone.
     :param max_wait: Longest wait for a replica that is catching up.
+    :param sample_interval: Longest wait of a poll of the primary. A poll that
+        waits for the next write says nothing about the time it waited.
+    :param report_interval: Longest wait of a poll of a replica.
     """
 
     hop: Millis = Millis(1)
@@ -42,6 +45,8 @@
     resolution: int = 256
     spill_wait: Millis = Millis(50)
     max_wait: Millis = Millis(100)
+    sample_interval: Millis = Millis(2)
+    report_interval: Millis = Millis(20)
 
 
 @attrs.frozen
@@ -139,6 +144,16 @@
         super().__init__(members, Samples(rules.max_samples, rules.resolution))
         self._rules = rules
 
+    def poll_timeout(self, name: str) -> Millis:
+        """Return how long the next poll of a backend server may wait.
+
+        :param name: Its name.
+        :returns: Timeout of ``WAIT GROUP CHANGE``.
+        """
+        if name == self._primary:
+            return self._rules.sample_interval
+        return self._rules.report_interval
+
     def choose_read(
         self, req: ReadRequest, load: Mapping[str, Load], now: Millis
     ) -> Choice:
