Pause between polls of the primary instead of waiting in them

Cause: at the same rate of polls, the time a poll waits on the primary adds to every data age in full, a pause between polls adds half of it on average.

--- a/emulator/virtual_group.py
+++ b/emulator/virtual_group.py
@@ -7,7 +7,7 @@
 from emulator.virtual_load import HOP, Database, Deployment, Simulation
 from monsoonproxy.clock import Millis
 from monsoonproxy.models import BackendReport, Role
-from monsoonproxy.routing import Router
+from monsoonproxy.routing import Poll, Router
 
 #: Maps a time to the lag that a replica would have then.
 LagShape = Callable[[float], float]
@@ -171,11 +171,16 @@
         self.polls = 0
         router.set_group(1, 'p', None, sim.now)
         for server in group.servers.values():
-            self._poll(server, (-1, -1))
+            self._plan(server, (-1, -1))
 
-    def _poll(self, server: VirtualServer, known: tuple[int, int]) -> None:
+    def _plan(self, server: VirtualServer, known: tuple[int, int]) -> None:
+        plan = self._router.next_poll(server.name)
+        self._sim.after(plan.pause, lambda: self._poll(server, known, plan))
+
+    def _poll(
+        self, server: VirtualServer, known: tuple[int, int], plan: Poll
+    ) -> None:
         sent_at = self._sim.now
-        timeout = self._router.poll_timeout(server.name)
         answered = False
 
         def answer() -> None:
@@ -192,7 +197,7 @@
                 answer()
                 return
             server.wait(answer)
-            self._sim.after(timeout, answer)
+            self._sim.after(plan.timeout, answer)
 
         self.polls += 1
         self._sim.after(HOP, arrive)
@@ -206,4 +211,4 @@
         confirmed = sorted(self._answered.values())[1]
         self._router.set_group(1, 'p', confirmed, now)
         known = (report.received, report.applied)
-        self._poll(server, known)
+        self._plan(server, known)
--- a/monsoonproxy/routing.py
+++ b/monsoonproxy/routing.py
@@ -35,9 +35,9 @@
     :param spill_wait: How much later than the primary a replica may answer
         before a read goes to the primary for its load alone.
     :param max_wait: Longest wait for a replica that is catching up.
-    :param sample_interval: Longest wait of a poll of the primary. A poll that
-        waits for the next write says nothing about the time it waited.
-    :param report_interval: Longest wait of a poll of a replica.
+    :param sample_interval: Pause between polls of the primary. They don't
+        wait, because the time a poll waited adds to the data ages.
+    :param report_timeout: Longest wait of a poll of a replica.
     """
 
     hop: Millis = Millis(1)
@@ -46,7 +46,7 @@
     spill_wait: Millis = Millis(50)
     max_wait: Millis = Millis(100)
     sample_interval: Millis = Millis(2)
-    report_interval: Millis = Millis(20)
+    report_timeout: Millis = Millis(20)
 
 
 @attrs.frozen
@@ -123,6 +123,18 @@
     reason: Reason
 
 
+@attrs.frozen
+class Poll:
+    """How to poll a backend server.
+
+    :param pause: Time in ms between its last report and the poll.
+    :param timeout: Timeout in ms of ``WAIT GROUP CHANGE``.
+    """
+
+    pause: Millis
+    timeout: Millis
+
+
 Choice: TypeAlias = Route | WaitFor | NoRoute
 
 
@@ -144,15 +156,15 @@
         super().__init__(members, Samples(rules.max_samples, rules.resolution))
         self._rules = rules
 
-    def poll_timeout(self, name: str) -> Millis:
-        """Return how long the next poll of a backend server may wait.
+    def next_poll(self, name: str) -> Poll:
+        """Tell how to poll a backend server after its last report.
 
         :param name: Its name.
-        :returns: Timeout of ``WAIT GROUP CHANGE``.
+        :returns: When to poll and how long the poll may wait.
         """
         if name == self._primary:
-            return self._rules.sample_interval
-        return self._rules.report_interval
+            return Poll(self._rules.sample_interval, Millis(0))
+        return Poll(Millis(0), self._rules.report_timeout)
 
     def choose_read(
         self, req: ReadRequest, load: Mapping[str, Load], now: Millis
