--- a/emulator/experiment_routing.py
+++ b/emulator/experiment_routing.py
@@ -16,7 +16,7 @@
 
 import attrs
 
-from emulator.virtual_group import Observer, VirtualGroup, lag_shape
+from emulator.virtual_replicas import Observer, VirtualGroup, lag_shape
 from emulator.virtual_load import (
     DEPLOYMENTS,
     HOP,
