--- a/monsoonproxy/routing.py
+++ b/monsoonproxy/routing.py
@@ -7,7 +7,7 @@
 import attrs
 
 from monsoonproxy.clock import Millis
-from monsoonproxy.freshness import Freshness, applied_offset
+from monsoonproxy.freshness import TICK, Freshness, applied_offset
 from monsoonproxy.models import Position
 from monsoonproxy.samples import Samples
 
@@ -35,6 +35,9 @@
     :param spill_wait: How much later than the primary a replica may answer
         before a read goes to the primary for its load alone.
     :param max_wait: Longest wait for a replica that is catching up.
+    :param sample_interval: Pause between polls of the primary. They don't
+        wait, because the time a poll waited adds to the data ages.
+    :param report_timeout: Longest wait of a poll of a replica.
     """
 
     hop: Millis = Millis(1)
@@ -42,6 +45,8 @@
     resolution: int = 256
     spill_wait: Millis = Millis(50)
     max_wait: Millis = Millis(100)
+    sample_interval: Millis = Millis(2)
+    report_timeout: Millis = Millis(20)
 
 
 @attrs.frozen
@@ -118,6 +123,18 @@
     reason: Reason
 
 
+@attrs.frozen
+class Poll:
+    """How to poll a backend server.
+
+    :param pause: Time in ms between its last report and the poll.
+    :param timeout: Timeout in ms of ``WAIT GROUP CHANGE``.
+    """
+
+    pause: Millis
+    timeout: Millis
+
+
 Choice: TypeAlias = Route | WaitFor | NoRoute
 
 
@@ -139,6 +156,16 @@
         super().__init__(members, Samples(rules.max_samples, rules.resolution))
         self._rules = rules
 
+    def next_poll(self, name: str) -> Poll:
+        """Tell how to poll a backend server after its last report.
+
+        :param name: Its name.
+        :returns: When to poll and how long the poll may wait.
+        """
+        if name == self._primary:
+            return Poll(self._rules.sample_interval, Millis(0))
+        return Poll(Millis(0), self._rules.report_timeout)
+
     def choose_read(
         self, req: ReadRequest, load: Mapping[str, Load], now: Millis
     ) -> Choice:
@@ -190,8 +217,9 @@
     ) -> bool:
         """Tell whether an answer that is in hand may be returned.
 
-        A bound of 0 needs a confirmation sent after the answer arrived, so
-        the question is to be asked again, with the same ``now``, after it.
+        A bound of 0 needs a confirmation sent after the answer arrived, at
+        ``now + 1`` by the clock that drops fractions. The question is to be
+        asked again after it, with the same ``now``.
 
         :param route: The choice that led to the answer.
         :param max_age: Greatest age of the data in ms.
@@ -209,7 +237,7 @@
             return False
         else:
             fresh = self._fresh_until(route.applied)
-        return fresh is not None and now - fresh <= max_age
+        return fresh is not None and now + TICK - fresh <= max_age
 
     def _candidate(
         self,
@@ -225,7 +253,7 @@
         fresh = self._fresh_until(applied_offset(member))
         if fresh is None:
             return _Candidate(name, _NEVER, _NEVER)
-        missing = max(0, now + flight - req.max_age - fresh)
+        missing = max(0, now + TICK + flight - req.max_age - fresh)
         if applied_offset(member) < floor:
             missing = max(missing, self._floor_gap(floor, fresh, now))
         ready_at = now + missing / max(member.pace, _MIN_PACE)
