Never pass a refusal on after an attempt that may have run

Cause: a request that was retried at another holder, or offered again in the same one, could end with that attempt's 'not run' although an earlier attempt may have run. Ruled out: forbidding retries, since reads and recorded writes are safe to run again. Conclusion: the entry side and the holder remember that any attempt may have run and answer 'outcome unknown' then.

--- /dev/null
+++ b/monsoonproxy/attempts.py
@@ -0,0 +1,115 @@
+"""State of the entry side's requests to holders."""
+
+import asyncio
+
+import attrs
+
+from monsoonproxy import messages
+from monsoonproxy.models import StatementKind
+
+#: Reason of a daemon that does not hold the service; another one may.
+NOT_HELD = 'this daemon does not hold the service'
+
+
+@attrs.frozen
+class Lost:
+    """A holder will not answer an open request.
+
+    :param ran: Whether the request may have run.
+    """
+
+    ran: bool = True
+
+
+@attrs.define
+class OpenRequest:
+    """A request that was sent to a holder."""
+
+    address: str
+    session: int
+    replies: asyncio.Queue[messages.Reply | Lost] = attrs.field(
+        factory=asyncio.Queue
+    )
+    row_messages: int = 0
+
+    def check(self, reply: messages.Reply | Lost) -> messages.Reply | Lost:
+        """Treat an answer that misses rows as lost.
+
+        :param reply: The next reply.
+        :returns: The reply, or that the answer is lost.
+        """
+        if isinstance(reply, messages.Refusal) and reply.reason == NOT_HELD:
+            return Lost(ran=False)
+        if isinstance(reply, messages.ResultRows):
+            self.row_messages += 1
+            if reply.sequence != self.row_messages - 1:
+                return Lost()
+        if isinstance(reply, messages.ResultEnd):
+            if reply.row_messages != self.row_messages:
+                return Lost()
+        return reply
+
+
+@attrs.define
+class Progress:
+    """What the attempts at one request have come to.
+
+    :param started: Whether the caller has a part of the answer.
+    :param answered: Whether the caller has the whole answer.
+    :param hopeless: Whether another attempt could do harm.
+    :param may_have_run: Whether any attempt may have run. Once it is set, no
+        later refusal may be passed on as ``not run``.
+    """
+
+    started: bool = False
+    answered: bool = False
+    hopeless: bool = False
+    may_have_run: bool = False
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether no further attempt is to be made."""
+        return self.answered or self.hopeless
+
+    def note_lost(
+        self, req: messages.StatementRequest, lost: Lost, *, pinned: bool
+    ) -> None:
+        """Take in that a holder did not finish its answer.
+
+        :param req: The request.
+        :param lost: What is known.
+        :param pinned: Whether it belongs to an open transaction.
+        """
+        self.may_have_run = self.may_have_run or lost.ran
+        if lost.ran:
+            self.hopeless = self.started or pinned or not may_repeat(req)
+
+    def truthful(self, reply: messages.Reply) -> messages.Reply:
+        """Correct a refusal after an attempt that may have run.
+
+        :param reply: The reply of a holder.
+        :returns: The reply for the caller.
+        """
+        if isinstance(reply, messages.Refusal) and self.may_have_run:
+            return messages.Unknown(reply.request, reply.reason)
+        return reply
+
+
+def may_repeat(req: messages.StatementRequest) -> bool:
+    """Tell whether a request that may have run may run again.
+
+    A write with a request id is safe: the record in the group recognises a
+    second run.
+    """
+    if req.kind in {StatementKind.READ.value, StatementKind.BEGIN.value}:
+        return True
+    return req.repeatable or req.request_id is not None
+
+
+def is_final(reply: messages.Reply | Lost) -> bool:
+    """Tell whether a reply ends its request.
+
+    :param reply: The reply.
+    :returns: Whether no other reply follows.
+    """
+    return not isinstance(reply, (messages.ResultHeader, messages.ResultRows))
--- a/monsoonproxy/calls.py
+++ b/monsoonproxy/calls.py
@@ -26,6 +26,9 @@
     :param req: The request.
     :param arrived: When it arrived.
     :param send: Sends replies to the entry side.
+    :param credit: Row messages that may be sent.
+    :param primary_only: Whether no replica may answer it.
+    :param may_have_run: Whether an earlier attempt may have run.
     """
 
     number: int
@@ -37,7 +40,7 @@
         factory=lambda: asyncio.Semaphore(CREDIT_WINDOW)
     )
     primary_only: bool = False
-    attempts: int = 0
+    may_have_run: bool = False
 
     @property
     def key(self) -> tuple[bytes, int]:
@@ -116,10 +119,15 @@
     ) -> None:
         """Tell the caller that the request was not run.
 
+        After an attempt that may have run the outcome is unknown instead.
+
         :param reason: Why.
         :param retry_after: Time in ms after which to come back.
         :param open_tx: Whether the transaction is still open.
         """
+        if self.may_have_run:
+            await self.unknown(reason)
+            return
         await self.send(
             messages.Refusal(self.req.request, reason, retry_after, open_tx)
         )
--- a/monsoonproxy/dispatch.py
+++ b/monsoonproxy/dispatch.py
@@ -4,9 +4,10 @@
 from collections.abc import Awaitable, Callable
 
 from monsoonproxy import messages
+from monsoonproxy.attempts import NOT_HELD
 from monsoonproxy.clock import seconds
 from monsoonproxy.control import Control
-from monsoonproxy.entry import NOT_HELD, Entry
+from monsoonproxy.entry import Entry
 from monsoonproxy.exceptions import PeerError
 from monsoonproxy.holders import Holder
 from monsoonproxy.hosting import Hosting
--- a/monsoonproxy/entry.py
+++ b/monsoonproxy/entry.py
@@ -2,21 +2,28 @@
 
 import asyncio
 import itertools
-from collections.abc import AsyncIterator, Callable
-from typing import TypeAlias
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import TypeAlias, TypeVar
 
-import attrs
 from msgspec.structs import replace
 
 from monsoonproxy import messages
+from monsoonproxy.attempts import Progress, Lost, OpenRequest, is_final
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.configuration import Configuration
 from monsoonproxy.declarations import Service
 from monsoonproxy.links import Links
-from monsoonproxy.models import Outcome, StatementKind
+from monsoonproxy.models import (
+    CONFIRMATION,
+    ENQUIRY,
+    Outcome,
+    StatementKind,
+)
 from monsoonproxy.sessions import Session
 from monsoonproxy.statements import Statement
 
+_Value = TypeVar('_Value')
+
 #: Returns the addresses of a service's holders in rank order.
 HolderLookup: TypeAlias = Callable[[Service], tuple[str, ...]]
 #: Records how a request of a service and class ended.
@@ -26,71 +33,10 @@
 _REPLY_GRACE = 1_000
 #: Time in ms after which a caller may come back when no holder is reachable.
 _NO_HOLDER_RETRY = 500
-#: Reason of a daemon that does not hold the service; another one may.
-NOT_HELD = 'this daemon does not hold the service'
 #: Rounds over the holders before a request is refused.
 _MOST_ATTEMPTS = 4
 
 
-@attrs.frozen
-class _Lost:
-    """A holder will not answer an open request.
-
-    :param ran: Whether the request may have run.
-    """
-
-    ran: bool = True
-
-
-@attrs.define
-class _OpenRequest:
-    """A request that was sent to a holder."""
-
-    address: str
-    replies: asyncio.Queue[messages.Reply | _Lost]
-    row_messages: int = 0
-
-    def check(self, reply: messages.Reply | _Lost) -> messages.Reply | _Lost:
-        """Treat an answer that misses rows as lost.
-
-        :param reply: The next reply.
-        :returns: The reply, or that the answer is lost.
-        """
-        if isinstance(reply, messages.Refusal) and reply.reason == NOT_HELD:
-            return _Lost(ran=False)
-        if isinstance(reply, messages.ResultRows):
-            self.row_messages += 1
-            if reply.sequence != self.row_messages - 1:
-                return _Lost()
-        if isinstance(reply, messages.ResultEnd):
-            if reply.row_messages != self.row_messages:
-                return _Lost()
-        return reply
-
-
-@attrs.define
-class _Attempt:
-    """What one holder has answered.
-
-    :param lost: Set if the holder did not finish its answer.
-    :param started: Whether the caller has a part of the answer.
-    """
-
-    lost: _Lost | None = None
-    started: bool = False
-
-    def is_over(self, req: messages.StatementRequest, *, pinned: bool) -> bool:
-        """Tell whether a lost attempt rules out another one.
-
-        :param req: The request.
-        :param pinned: Whether it belongs to an open transaction.
-        :returns: Whether the outcome has to stay unknown.
-        """
-        if self.lost is not None and not self.lost.ran:
-            return False
-        return self.started or pinned or not _may_repeat(req)
-
-
 class Entry:
     """Executes statements of caller sessions.
 
@@ -113,8 +59,9 @@
         self._clock = clock
         self._cfg: Configuration | None = None
         self._numbers = itertools.count(1)
-        self._open: dict[int, _OpenRequest] = {}
+        self._open: dict[int, OpenRequest] = {}
         self._pinned: dict[int, str] = {}
+        self._tasks: set[asyncio.Future[object]] = set()
         self.stale_replies = 0
 
     def configure(self, cfg: Configuration) -> None:
@@ -160,7 +107,7 @@
         """
         for waiting in self._open.values():
             if waiting.address == address:
-                waiting.replies.put_nowait(_Lost())
+                waiting.replies.put_nowait(Lost())
 
     async def close(self, session: Session) -> None:
         """End a session, rolling back its open transaction.
@@ -199,12 +146,20 @@
         self._count(req, final, arrived)
 
     def cancel(self, session: Session) -> None:
-        """Take in that a caller has gone in the middle of an answer.
-
-        The running attempt tells the holder when its iterator is closed.
+        """Give up a session's running statement; its caller has gone.
 
         :param session: The session.
         """
+        for number, waiting in tuple(self._open.items()):
+            if waiting.session == session.number:
+                self._open.pop(number)
+                cancel = messages.Cancel(number)
+                self._spawn(self._links.try_send(waiting.address, cancel))
+
+    def _spawn(self, work: Awaitable[object]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def _needs_begin(self, session: Session, statement: Statement) -> bool:
         """Tell whether a statement opens a transaction without ``BEGIN``."""
@@ -242,11 +197,7 @@
     ) -> messages.StatementRequest:
         marks = statement.marks
         is_read = statement.kind is StatementKind.READ
-        default_class = 'enquiry' if is_read else 'confirmation'
-        request_class = marks.request_class or default_class
-        max_age = marks.max_age
-        if max_age is None:
-            max_age = service.rule(request_class).max_age
+        request_class = marks.request_class or _DEFAULT_CLASSES[is_read]
         repeatable = marks.repeatable
         floor = session.floor
         return messages.StatementRequest(
@@ -256,9 +207,9 @@
             sql=statement.sql,
             kind=statement.kind.value,
             request_class=request_class,
-            max_age=max_age,
+            max_age=_either(marks.max_age, service.rule(request_class).max_age),
             remaining=marks.deadline or service.default_deadline,
-            repeatable=is_read if repeatable is None else repeatable,
+            repeatable=_either(repeatable, is_read),
             request_id=marks.request_id,
             floor=(floor.term, floor.offset) if floor else None,
         )
@@ -270,40 +221,42 @@
         arrived: Millis,
     ) -> AsyncIterator[messages.Reply]:
         """Try the holders in turn while a further try does no harm."""
-        deadline = arrived + req.remaining
+        progress = Progress()
         for attempt in range(_MOST_ATTEMPTS):
-            remaining = deadline - self._clock.now()
-            req = replace(req, request=next(self._numbers), remaining=remaining)
-            address = await self._send_to_holder(service, req, attempt)
-            if address is None or remaining <= 0:
+            remaining = arrived + req.remaining - self._clock.now()
+            numbered = replace(
+                req, request=next(self._numbers), remaining=remaining
+            )
+            address = await self._send_to_holder(service, numbered, attempt)
+            if address is None:
                 break
-            progress = _Attempt()
-            async for reply in self._attempt(req, address, progress):
+            async for reply in self._attempt(numbered, address, progress):
                 yield reply
-            if progress.lost is None:
-                return
-            pinned = self._pinned.pop(req.session, None)
-            if progress.is_over(req, pinned=pinned is not None):
-                yield messages.Unknown(req.request, 'the holder was lost')
-                return
-        yield self._no_holder(req)
+            if progress.ended:
+                break
+        if not progress.answered:
+            yield self._not_answered(req, progress)
 
     async def _attempt(
-        self, req: messages.StatementRequest, address: str, progress: _Attempt
+        self, req: messages.StatementRequest, address: str, progress: Progress
     ) -> AsyncIterator[messages.Reply]:
         async for reply in self._replies(req, address):
-            if isinstance(reply, _Lost):
-                progress.lost = reply
+            if isinstance(reply, Lost):
+                pinned = self._pinned.pop(req.session, None)
+                progress.note_lost(req, reply, pinned=pinned is not None)
             else:
                 progress.started = True
-                yield reply
+                progress.answered = progress.answered or is_final(reply)
+                yield progress.truthful(reply)
 
     async def _send_to_holder(
         self, service: Service, req: messages.StatementRequest, attempt: int
     ) -> str | None:
         """Send a request to the first holder that can be reached."""
+        if req.remaining <= 0:
+            return None
         for address in self._addresses(service, req.session, attempt):
-            self._open[req.request] = _OpenRequest(address, asyncio.Queue())
+            self._open[req.request] = OpenRequest(address, req.session)
             if await self._links.try_send(address, req):
                 return address
         self._open.pop(req.request, None)
@@ -322,7 +275,7 @@
 
     async def _replies(
         self, req: messages.StatementRequest, address: str
-    ) -> AsyncIterator[messages.Reply | _Lost]:
+    ) -> AsyncIterator[messages.Reply | Lost]:
         """Yield the replies of one attempt, in order and whole."""
         waiting = self._open[req.request]
         limit = seconds(req.remaining + _REPLY_GRACE)
@@ -331,14 +284,14 @@
             while not finished:
                 reply = await asyncio.wait_for(waiting.replies.get(), limit)
                 reply = waiting.check(reply)
-                finished = _is_final(reply)
+                finished = is_final(reply)
                 await self._note(req, address, reply)
                 yield reply
         except asyncio.TimeoutError:
             yield messages.Unknown(req.request, 'no answer before the deadline')
         finally:
-            self._open.pop(req.request, None)
-            if not finished:
+            still_open = self._open.pop(req.request, None) is not None
+            if still_open and not finished:
                 await self._links.try_send(
                     address, messages.Cancel(req.request)
                 )
@@ -347,23 +300,27 @@
         self,
         req: messages.StatementRequest,
         address: str,
-        reply: messages.Reply | _Lost,
+        reply: messages.Reply | Lost,
     ) -> None:
         """Allow further rows; note which holder has the transaction."""
         if isinstance(reply, messages.ResultRows):
             credit = messages.Credit(req.request, 1)
             await self._links.try_send(address, credit)
-        if not _is_final(reply):
+        if not is_final(reply):
             return
         if getattr(reply, 'in_transaction', False):
             self._pinned[req.session] = address
-        elif not isinstance(reply, _Lost):
+        elif not isinstance(reply, Lost):
             self._pinned.pop(req.session, None)
 
-    def _no_holder(self, req: messages.StatementRequest) -> messages.Reply:
-        lost_transaction = self._pinned.pop(req.session, None) is not None
+    def _not_answered(
+        self, req: messages.StatementRequest, progress: Progress
+    ) -> messages.Reply:
+        """Say truthfully what became of a request without an answer."""
+        if progress.may_have_run:
+            return messages.Unknown(req.request, 'the holder was lost')
         reason = 'no holder of the service can be reached'
-        if lost_transaction:
+        if self._pinned.pop(req.session, None) is not None:
             reason = 'the transaction was rolled back because its holder left'
         return messages.Refusal(req.request, reason, _NO_HOLDER_RETRY)
 
@@ -380,6 +337,9 @@
         self._record(req.service, req.request_class, outcome, took)
 
 
+#: Class of an unmarked request, by whether it is a read.
+_DEFAULT_CLASSES = {True: ENQUIRY, False: CONFIRMATION}
+
 _OUTCOMES = {
     messages.ResultEnd: Outcome.ANSWERED,
     messages.Failure: Outcome.FAILED,
@@ -388,16 +348,5 @@
 }
 
 
-def _may_repeat(req: messages.StatementRequest) -> bool:
-    """Tell whether a request that may have run may run again.
-
-    A write with a request id is safe: the record in the group recognises a
-    second run.
-    """
-    if req.kind in {StatementKind.READ.value, StatementKind.BEGIN.value}:
-        return True
-    return req.repeatable or req.request_id is not None
-
-
-def _is_final(reply: messages.Reply | _Lost) -> bool:
-    return not isinstance(reply, (messages.ResultHeader, messages.ResultRows))
+def _either(marked: _Value | None, default: _Value) -> _Value:
+    return default if marked is None else marked
--- a/monsoonproxy/holders.py
+++ b/monsoonproxy/holders.py
@@ -144,7 +144,9 @@
         if call is None:
             return
         if self._waiting.pop(call.number, None) is not None:
-            self._admission.cancel(self._tickets.pop(call.number))
+            ticket = self._tickets.pop(call.number, None)
+            if ticket is not None:
+                self._admission.cancel(ticket)
             self._running.calls.pop((sender, message.request), None)
         elif call.kind is StatementKind.READ:
             task = self._running.tasks.get(call.number)
@@ -366,7 +368,7 @@
 
     async def _again(self, call: Call, *, sent: bool, reason: str) -> None:
         now = self._clock.now()
-        call.attempts += 1
+        call.may_have_run = call.may_have_run or sent
         begins = call.kind is StatementKind.BEGIN
         repeatable = call.req.repeatable
         if not begins and not retries.may_retry(call.kind, repeatable, sent):
@@ -374,7 +376,5 @@
         elif now < call.deadline and self._budget.take(now):
             asyncio.get_running_loop().call_soon(self._offer, call)
             self._waiting[call.number] = call
-        elif call.kind is StatementKind.READ and sent:
-            await call.unknown(reason)
         else:
             await call.refuse(reason, RETRY_AFTER)
