Change members and rules of a held service without a restart

Cause: a new configuration rebuilt the holder of each changed service, which would open a second set of connections and break the queue. Ruled out: rebuilding always; both holders do it at once, so connections could pass the limit. Conclusion: classes, limits of the queue, deadlines and members change in place; only other changes restart the holder, which first sends its queue back.

--- a/monsoonproxy/admission.py
+++ b/monsoonproxy/admission.py
@@ -126,6 +126,14 @@
         """
         return len(self._backlog)
 
+    def reconfigure(self, rules: AdmissionRules) -> None:
+        """Take new settings into use; waiting requests keep their weights.
+
+        :param rules: Settings.
+        """
+        self._rules = rules
+        self._backlog.limit = rules.queue_limit
+
     def update_servers(
         self, slots: Mapping[str, int], primary: str | None
     ) -> None:
--- a/monsoonproxy/backends.py
+++ b/monsoonproxy/backends.py
@@ -187,9 +187,13 @@
         )
         self._hand_out()
 
-    async def close(self) -> None:
-        """Close all idle connections; leased ones close on their return."""
+    def stop_lending(self) -> None:
+        """Close idle connections; leased ones close on their return."""
         self._run(self._pool.stop(pools.CloseReason.NOT_HOLDER))
+
+    async def close(self) -> None:
+        """Close all idle connections and wait until they are closed."""
+        self.stop_lending()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     @contextlib.asynccontextmanager
--- a/monsoonproxy/backlog.py
+++ b/monsoonproxy/backlog.py
@@ -71,7 +71,7 @@
     """
 
     def __init__(self, width: int, limit: int) -> None:
-        self._limit = limit
+        self.limit = limit
         self.own = Lane(width)
         self.shared = Lane(width)
 
@@ -88,7 +88,7 @@
 
         :returns: Whether the limit is reached.
         """
-        return len(self) >= self._limit
+        return len(self) >= self.limit
 
     @property
     def total(self) -> float:
@@ -135,7 +135,7 @@
         self.add(entry)
         while gain > 0:
             shortage = self._shortage(outlook, 0)
-            if shortage is None and len(self) <= self._limit:
+            if shortage is None and len(self) <= self.limit:
                 return victims
             victim = self._victim(shortage, entry.weight, entry.ticket.number)
             if victim is None:
--- a/monsoonproxy/groups.py
+++ b/monsoonproxy/groups.py
@@ -3,16 +3,16 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Set
 
 from monsoonproxy import claims, quorum, signals
 from monsoonproxy.backends import Backend
 from monsoonproxy.clock import Clock, Millis, seconds
-from monsoonproxy.exceptions import BackendError, ConnectionLostError
 from monsoonproxy.failover import Failover
 from monsoonproxy.logs import log_for
 from monsoonproxy.models import BackendReport, Position
 from monsoonproxy.routing import Router, RoutingRules
+from monsoonproxy.steps import Steps
 
 _log = log_for('group')
 
@@ -42,12 +42,16 @@
         self.backends = dict(backends)
         self.failover = failover
         self.router = Router(backends, RoutingRules())
-        self._claim = claim
+        self._steps = Steps(service, self.backends, claim)
         self._clock = clock
         #: Called after each report.
         self.on_change: Callable[[], None] = lambda: None
         self._changed = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._task_group: asyncio.TaskGroup | None = None
+        self._watchers: dict[str, tuple[asyncio.Task[None], ...]] = {}
+        #: Backend servers that get no new work.
+        self.leaving: frozenset[str] = frozenset()
         #: Latest position of the primary and when it was asked for.
         self._samples: dict[str, tuple[Position, Millis]] = {}
 
@@ -60,26 +64,64 @@
         """Watch the backend servers until cancelled."""
         try:
             async with asyncio.TaskGroup() as tasks:
+                self._task_group = tasks
                 for backend in self.backends.values():
-                    tasks.create_task(
-                        backend.poll(self._observe, self._unreachable)
-                    )
-                    tasks.create_task(
-                        backend.probe(self._observe, self._unreachable)
-                    )
-                    tasks.create_task(backend.keep_pool())
+                    self._watch(backend)
                 tasks.create_task(self._tick())
         finally:
+            self._task_group = None
             for task in self._tasks:
                 task.cancel()
 
-    def set_leaving(self, name: str) -> None:
+    async def change_members(
+        self, backends: Mapping[str, Backend], leaving: Set[str]
+    ) -> None:
+        """Replace the backend servers of the group.
+
+        :param backends: The backend servers to have from now on. Those with a
+            known name stay as they are.
+        :param leaving: Names of those that get no new work.
+        """
+        removed = self.backends.keys() - backends.keys()
+        for name in backends.keys() - self.backends.keys():
+            self.backends[name] = backends[name]
+            self.router.add(name)
+            self._watch(backends[name])
+        names = tuple(backends)
+        self.handle(signals.MembersChanged(names))
+        for name in removed:
+            await self._forget(name)
+        for name in leaving:
+            self.mark_leaving(name)
+        self.leaving = frozenset(leaving)
+        self._notify()
+
+    async def _forget(self, name: str) -> None:
+        self.router.remove(name)
+        for task in self._watchers.pop(name, ()):
+            task.cancel()
+        await self.backends.pop(name).close()
+
+    def _watch(self, backend: Backend) -> None:
+        if self._task_group is None:
+            return
+        work = (
+            backend.poll(self._observe, self._unreachable),
+            backend.probe(self._observe, self._unreachable),
+            backend.keep_pool(),
+        )
+        self._watchers[backend.name] = tuple(
+            self._task_group.create_task(coroutine) for coroutine in work
+        )
+
+    def mark_leaving(self, name: str) -> None:
         """Give a backend server no new work.
 
         :param name: Its name.
         """
         self.router.set_leaving(name)
-        self.handle(signals.SwitchRequested(name))
+        if name == self.view.primary:
+            self.handle(signals.SwitchRequested(name))
 
     async def close(self) -> None:
         """Close the connections to all backend servers."""
@@ -197,6 +239,9 @@
         self, name: str, report: BackendReport, sent_at: Millis
     ) -> None:
         now = self._clock.now()
+        if report.leaving and name not in self.leaving:
+            self.leaving |= {name}
+            self.mark_leaving(name)
         self.handle(signals.Reported(name, report, sent_at))
         view = self.view
         self.router.set_group(view.term, view.primary, view.confirmed_at, now)
@@ -244,58 +289,22 @@
         else:
             self._spawn(self._step(command))
 
+    async def _step(self, command: signals.Command) -> None:
+        event = await self._steps.run(command)
+        if event is not None:
+            self.handle(event)
+            self._notify()
+
+    def stop_lending(self) -> None:
+        """Close idle connections; leased ones close on their return."""
+        for backend in self.backends.values():
+            backend.stop_lending()
+
     def _spawn(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _step(self, command: signals.Command) -> None:
-        """Run one step of a failover and report how it ended."""
-        if isinstance(command, signals.ClaimTerm):
-            _log.info('{}: Claiming term {}', self.service, command.term)
-            event: signals.Event = await self._claim.claim(
-                self.service, command.term
-            )
-        elif isinstance(command, signals.SetTerm):
-            event = await self._set_term(command)
-        elif isinstance(command, signals.Promote):
-            _log.info('{}: Promoting {}', self.service, command.name)
-            event = await self._promote(command)
-        elif isinstance(command, signals.Follow):
-            event = await self._follow(command)
-        else:
-            return
-        self.handle(event)
-        self._notify()
-
-    async def _set_term(self, command: signals.SetTerm) -> signals.Event:
-        try:
-            async with self.backends[command.name].step() as conn:
-                report = await conn.set_term(
-                    command.term, self._claim.candidate
-                )
-        except (ConnectionLostError, BackendError):
-            return signals.TermFailed(command.name)
-        return signals.TermAnswered(command.name, report)
-
-    async def _promote(self, command: signals.Promote) -> signals.Event:
-        try:
-            async with self.backends[command.name].step() as conn:
-                report = await conn.promote(command.term, self._claim.candidate)
-        except (ConnectionLostError, BackendError) as exc:
-            _log.warning('{}: Promotion failed: {}', self.service, exc)
-            return signals.PromoteFailed(command.name)
-        return signals.Promoted(command.name, report)
-
-    async def _follow(self, command: signals.Follow) -> signals.Event:
-        source = self.backends[command.source_name].address
-        try:
-            async with self.backends[command.name].step() as conn:
-                report = await conn.follow(command.term, source)
-        except (ConnectionLostError, BackendError):
-            return signals.FollowFailed(command.name)
-        return signals.Followed(command.name, report)
-
 
 def candidate_name(address: str, rng: random.Random) -> str:
     """Return a name for a daemon's incarnation as a candidate.
--- a/monsoonproxy/holders.py
+++ b/monsoonproxy/holders.py
@@ -10,6 +10,8 @@
 from msgspec.structs import replace
 
 from monsoonproxy import admission, messages, queues, retries
+from monsoonproxy.attempts import NOT_HELD
+from monsoonproxy.backends import Backend
 from monsoonproxy.calls import Call, Send
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.declarations import Service
@@ -64,13 +66,7 @@
         self._numbers = itertools.count(1)
         self._executor = Executor(group, clock)
         self.transactions = Transactions(group, self._executor, clock)
-        rules = admission.AdmissionRules(
-            weights={
-                name: rule.weight for name, rule in service.classes.items()
-            },
-            queue_limit=service.queue_limit,
-        )
-        self._admission = admission.Admission(rules, rng)
+        self._admission = admission.Admission(_admission_rules(service), rng)
         budget = retries.RetryRules(ratio=service.retry_budget)
         self._budget = retries.RetryBudget(budget, clock.now())
         self._waiting: dict[int, Call] = {}
@@ -90,6 +86,29 @@
                 task.cancel()
             self.transactions.end_where(lambda _key: True)
 
+    async def reconfigure(
+        self, service: Service, backends: Mapping[str, Backend]
+    ) -> None:
+        """Take a new declaration into use without a restart.
+
+        :param service: The declaration.
+        :param backends: Backend servers of its members.
+        """
+        self.service = service
+        self._admission.reconfigure(_admission_rules(service))
+        await self.group.change_members(backends, leaving_members(service))
+
+    async def hand_over(self) -> None:
+        """Send the waiting requests back, so that another holder runs them."""
+        self.group.stop_lending()
+        waiting = tuple(self._waiting.values())
+        self._waiting.clear()
+        for call in waiting:
+            ticket = self._tickets.pop(call.number, None)
+            if ticket is not None:
+                self._admission.cancel(ticket)
+            self._start(call, call.refuse(NOT_HELD, RETRY_AFTER))
+
     def open_requests(self) -> int:
         """Return the number of requests in flight.
 
@@ -166,7 +185,7 @@
         slots = {}
         for name in self.group.backends:
             report = view.report(name)
-            if report is not None and not report.leaving:
+            if report is not None and name not in self.group.leaving:
                 slots[name] = self.service.slots
         self._admission.update_servers(slots, view.primary)
         self._schedule_pump()
@@ -378,3 +397,21 @@
             self._waiting[call.number] = call
         else:
             await call.refuse(reason, RETRY_AFTER)
+
+
+def leaving_members(service: Service) -> frozenset[str]:
+    """Return the members that are declared as leaving.
+
+    :param service: The declaration.
+    :returns: Their names.
+    """
+    return frozenset(
+        member.name for member in service.members if member.leaving
+    )
+
+
+def _admission_rules(service: Service) -> admission.AdmissionRules:
+    weights = {name: rule.weight for name, rule in service.classes.items()}
+    return admission.AdmissionRules(
+        weights=weights, queue_limit=service.queue_limit
+    )
--- a/monsoonproxy/hosting.py
+++ b/monsoonproxy/hosting.py
@@ -5,7 +5,7 @@
 import os
 import pathlib
 import random
-from collections.abc import Iterable
+from collections.abc import Coroutine, Iterable
 
 import attrs
 
@@ -18,7 +18,7 @@
 from monsoonproxy.exceptions import ConfigurationError
 from monsoonproxy.failover import Failover
 from monsoonproxy.groups import Group
-from monsoonproxy.holders import Holder
+from monsoonproxy.holders import Holder, leaving_members
 from monsoonproxy.logs import log_for
 from monsoonproxy.models import Host
 from monsoonproxy.supervisors import Supervisor
@@ -99,14 +99,15 @@
 
         :param cfg: The configuration.
         """
-        changed = {
-            name
-            for name, held in self._held.items()
-            if cfg.services.get(name) != held.holder.service
-        }
         self._cfg = cfg
-        for name in changed:
-            self._release(name)
+        for name, held in tuple(self._held.items()):
+            service = cfg.services.get(name)
+            if service is None or _needs_restart(held.holder.service, service):
+                self._release(name)
+            elif service != held.holder.service:
+                self._spawn(
+                    held.holder.reconfigure(service, self._backends(service))
+                )
         self.place(self._hosts)
 
     def place(self, hosts: Iterable[Host]) -> None:
@@ -159,9 +160,9 @@
         self._held[service.name] = _Held(holder, rank, tasks)
         self._supervisor.start_child(tasks[0], group.run)
         self._supervisor.start_child(tasks[1], holder.run)
-        for member in service.members:
-            if member.leaving:
-                group.set_leaving(member.name)
+        group.leaving = leaving_members(service)
+        for name in group.leaving:
+            group.mark_leaving(name)
 
     def _backends(self, service: Service) -> dict[str, Backend]:
         adapter = adapters.databases.get(service.database)()
@@ -183,13 +184,17 @@
     def _release(self, name: str) -> None:
         held = self._held.pop(name)
         _log.info('Releasing {}', name)
-        task = asyncio.create_task(self._drain(held))
+        self._spawn(self._drain(held))
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
         self._draining.add(task)
         task.add_done_callback(self._draining.discard)
 
     async def _drain(self, held: _Held) -> None:
         """Let a holder finish what it has, then stop its tasks."""
         holder = held.holder
+        await holder.hand_over()
         deadline = self._clock.now() + holder.service.drain_timeout
         while holder.open_requests() and self._clock.now() < deadline:
             await asyncio.sleep(seconds(_DRAIN_INTERVAL))
@@ -198,6 +203,36 @@
         await holder.group.close()
 
 
+#: Fields of a service that a running holder takes over.
+_LIVE_FIELDS = frozenset(
+    (
+        'members',
+        'classes',
+        'queue_limit',
+        'default_deadline',
+        'drain_timeout',
+        'retry_budget',
+    )
+)
+
+
+def _needs_restart(old: Service, new: Service) -> bool:
+    """Tell whether a change needs new connections or a new failover."""
+    return any(
+        getattr(old, field.name) != getattr(new, field.name)
+        for field in attrs.fields(Service)
+        if field.name not in _LIVE_FIELDS
+    ) or _addresses_changed(old, new)
+
+
+def _addresses_changed(old: Service, new: Service) -> bool:
+    known = {member.name: member.address for member in old.members}
+    return any(
+        known.get(member.name, member.address) != member.address
+        for member in new.members
+    )
+
+
 def read_credentials(reference: str) -> Credentials:
     """Read the log-in for backend servers.
 
