Count a confirmation only from a later millisecond

Cause: reads with a bound of 0 were refused as too old. The router counts a confirmation sent in the same millisecond as the answer as possibly earlier, since the clock drops fractions, while the group waited only for the same millisecond. Ruled out: the router's rule, which is right; a poll sent in the same millisecond may precede the answer. Conclusion: the group waits for a poll of a later millisecond.

--- a/monsoonproxy/groups.py
+++ b/monsoonproxy/groups.py
@@ -176,6 +176,8 @@
     async def confirm(self, since: Millis, deadline: int) -> bool:
         """Wait until a majority confirmed the term after a time.
 
+        The clock drops fractions, so only a poll sent at a later ms counts.
+
         When this returns ``True``, a majority has also received all that an
         answer of the primary before ``since`` may contain.
 
@@ -196,17 +198,17 @@
             that was asked for since then.
         """
         sample = self._samples.get(self.view.primary or '')
-        if sample is None or sample[1] < since:
+        if sample is None or sample[1] <= since:
             return None
         return sample[0]
 
     def _confirmed(self, since: Millis) -> bool:
         confirmed_at = self.view.confirmed_at
-        if confirmed_at is None or confirmed_at < since:
+        if confirmed_at is None or confirmed_at <= since:
             return False
         primary = self.view.primary
         sample = self._samples.get(primary) if primary else None
-        if sample is None or sample[1] < since:
+        if sample is None or sample[1] <= since:
             return False
         done = self.view.committed
         return done is not None and done >= sample[0]
