--- /dev/null
+++ b/monsoonproxy/connections.py
@@ -0,0 +1,243 @@
+"""One caller's connection."""
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from loguru import logger
+from mysql_mimic import packets as mimic
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.connection import Connection
+from mysql_mimic.control import Control
+from mysql_mimic.errors import MysqlError
+from mysql_mimic.session import BaseSession
+from mysql_mimic.types import Capabilities
+
+from monsoonproxy import commands, packets, sessions
+from monsoonproxy.exceptions import (
+    MarksError,
+    MonsoonError,
+    StatementError,
+    TokenError,
+)
+from monsoonproxy.streams import (
+    ConnectionGoneError,
+    PacketError,
+    PacketStream,
+)
+
+if TYPE_CHECKING:
+    from monsoonproxy.frontends import Frontend
+
+#: Version that callers see; clients derive the server's features from it.
+VERSION = '8.0.29-monsoonproxy'
+_CONTROL = Control()
+_SERVER_LEAVING = 'the proxy is shutting down'
+_LEAVING = packets.error(
+    4100, 'HY000', f'not run: {_SERVER_LEAVING}; come back after 0 ms'
+)
+_CODES: tuple[tuple[type[MonsoonError], int, str], ...] = (
+    (MarksError, 4102, 'HY000'),
+    (TokenError, 4103, 'HY000'),
+    (StatementError, 1235, '42000'),
+)
+
+
+class Identity(BaseSession):
+    """Who a caller is, as ``mysql_mimic`` stores it."""
+
+    username: str | None = None
+    database: str | None = None
+
+
+class CallerConnection(Connection):
+    """The server side of one connection.
+
+    It has a task only while it has a command in work.
+
+    :param frontend: The frontend that accepted the connection.
+    """
+
+    def __init__(self, frontend: 'Frontend') -> None:
+        super().__init__(
+            stream=PacketStream(self, frontend.limits.packet),
+            session=Identity(),
+            control=_CONTROL,
+            identity_provider=frontend.identities,
+            server_capabilities=packets.CAPABILITIES,
+            ssl=frontend.ssl,
+        )
+        self.frontend = frontend
+        self.state = sessions.Session(next(frontend.numbers), '')
+        self.connection_id = self.state.number & 0xFFFFFFFF
+        self.running = False
+        self._leaving = False
+
+    @property
+    def server_charset(self) -> CharacterSet:
+        """The character set of names and messages.
+
+        :returns: Always ``utf8mb4``.
+        """
+        return CharacterSet.utf8mb4
+
+    @property
+    def client_charset(self) -> CharacterSet:
+        """The character set of statements.
+
+        :returns: Always ``utf8mb4``.
+        """
+        return CharacterSet.utf8mb4
+
+    @property
+    def short_ends(self) -> bool:
+        """Whether results end without EOF packets.
+
+        :returns: What the caller asked for in the handshake.
+        """
+        return Capabilities.CLIENT_DEPRECATE_EOF in self.capabilities
+
+    @property
+    def status(self) -> int:
+        """The status flags of the session.
+
+        :returns: The flags.
+        """
+        return packets.status_flags(
+            self.state.in_transaction, self.state.autocommit
+        )
+
+    # Events of the stream.
+
+    def opened(self) -> None:
+        """Start the handshake."""
+        frontend = self.frontend
+        if len(frontend.connections) >= frontend.limits.connections:
+            self.stream.put(
+                packets.error(1040, '08004', 'Too many connections')
+            )
+            self.stream.close()
+            return
+        frontend.connections.add(self)
+        self._start_task(self._open())
+
+    def arrived(self) -> None:
+        """Serve commands, unless a task does already."""
+        if self._task is None:
+            self._start_task(self._serve())
+
+    def lost(self) -> None:
+        """End the session; the caller has gone."""
+        if self in self.frontend.connections:
+            self.frontend.spawn(self._finish())
+
+    # Shutdown.
+
+    def leave(self) -> None:
+        """Close the connection as soon as no request or transaction is open."""
+        self._leaving = True
+        if self._task is None and not self.state.in_transaction:
+            self._start_task(self._say_goodbye())
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self.stream.close()
+
+    def _start_task(self, work: Any) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._guard(work))
+
+    async def _guard(self, work: Any) -> None:
+        try:
+            await work
+        except ConnectionGoneError:
+            self.stream.close()
+        except PacketError as exc:
+            self._fail(exc.code, '08S01', str(exc))
+            self.stream.close()
+        finally:
+            self._task = None
+
+    async def _finish(self) -> None:
+        task = self._task
+        if task is not None:
+            task.cancel()
+            await asyncio.wait((task,))
+        self.frontend.connections.discard(self)
+        await self.frontend.executor.close(self.state)
+
+    # The handshake.
+
+    async def _open(self) -> None:
+        try:
+            async with asyncio.timeout(self.frontend.limits.handshake / 1000):
+                await self.connection_phase()
+        except TimeoutError:
+            self._fail(1159, '08S01', 'the handshake took too long')
+            self.stream.close()
+
+    async def connection_phase(self) -> None:
+        """Negotiate the connection and authenticate the caller."""
+        plugin = self.identity_provider.get_default_plugin()
+        nonce, auth_state = await plugin.start()
+        self.handshake_auth_data = nonce
+        self.handshake_auth_plugin = plugin.name
+        await self.stream.write(
+            mimic.make_handshake_v10(
+                capabilities=self.server_capabilities,
+                server_charset=self.server_charset,
+                server_version=VERSION,
+                connection_id=self.connection_id,
+                auth_data=nonce,
+                status_flags=self.status,
+                auth_plugin_name=plugin.name,
+            )
+        )
+        response = mimic.parse_handshake_response(
+            capabilities=self.server_capabilities,
+            data=await self.stream.read(),
+        )
+        self.capabilities = response.capabilities
+        self.state.service = response.database or response.username
+        await self.authenticate(
+            auth_state=auth_state,
+            server_plugin=plugin,
+            username=response.username,
+            client_plugin_name=response.client_plugin,
+            auth_response=response.auth_response,
+            connect_attrs={},
+        )
+        self.stream.reset_seq()
+
+    # Commands.
+
+    async def _serve(self) -> None:
+        while self.stream.has_input:
+            packet = await self.stream.read()
+            await self._command(packet)
+            self.stream.reset_seq()
+
+    async def _command(self, packet: bytes) -> None:
+        try:
+            await commands.run(self, packet)
+        except (PacketError, ConnectionGoneError):
+            raise
+        except MonsoonError as exc:
+            self._refuse(exc)
+        except MysqlError as exc:
+            self._fail(exc.code, '42000', exc.msg)
+        except Exception:
+            logger.exception('entry: a command failed')
+            self._fail(1105, 'HY000', 'internal error of the proxy')
+        await self.stream.drain()
+
+    def _refuse(self, exc: MonsoonError) -> None:
+        for kind, code, sqlstate in _CODES:
+            if isinstance(exc, kind):
+                self._fail(code, sqlstate, str(exc))
+                return
+        self._fail(1105, 'HY000', str(exc))
+
+    def _fail(self, code: int, sqlstate: str, text: str) -> None:
+        self.stream.put(packets.error(code, sqlstate, text))
+
+    async def _say_goodbye(self) -> None:
+        self.stream.close()
--- /dev/null
+++ b/monsoonproxy/streams.py
@@ -0,0 +1,264 @@
+"""Packet framing of the MySQL protocol on one caller connection."""
+
+import asyncio
+import ssl
+from typing import Any, Protocol
+
+import attrs
+
+from monsoonproxy.exceptions import MonsoonError
+
+#: Longest payload of one frame; a longer packet continues in the next frame.
+MAX_FRAME = 0xFFFFFF
+#: Most unread bytes that are buffered while a command is in work.
+READ_AHEAD = 65_536
+_HEADER = 4
+_SEQUENCES = 256
+
+
+class PacketError(MonsoonError):
+    """The bytes of a caller don't form a valid packet.
+
+    :param code: The MySQL error code to answer with.
+    """
+
+    def __init__(self, code: int, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+
+
+class ConnectionGoneError(MonsoonError):
+    """The caller has closed the connection."""
+
+
+class Owner(Protocol):
+    """What a stream reports to."""
+
+    def opened(self) -> None:
+        """Start; the connection is made."""
+
+    def arrived(self) -> None:
+        """Read; data has arrived."""
+
+    def lost(self) -> None:
+        """Clean up; the connection is lost."""
+
+
+@attrs.define(eq=False)
+class PacketStream(asyncio.Protocol):
+    """Reads and writes packets.
+
+    It keeps no buffer while the connection is idle, and it does not need a
+    task that waits for the next packet.
+
+    :param owner: Is told what happens.
+    :param limit: Greatest size of a packet.
+    """
+
+    owner: Owner
+    limit: int
+    transport: Any = None
+    closed: bool = False
+    _input: bytearray | None = None
+    _output: bytearray | None = None
+    _sequence: int = 0
+    _reader: asyncio.Future[None] | None = None
+    _writer: asyncio.Future[None] | None = None
+    _paused: bool = False
+    _parts: list[bytes] | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Start on a new transport.
+
+        :param transport: The transport.
+        """
+        first = self.transport is None
+        self.transport = transport
+        if first:
+            self.owner.opened()
+
+    def data_received(self, data: bytes) -> None:
+        """Buffer what the caller sent.
+
+        :param data: The bytes.
+        """
+        if self._input is None:
+            self._input = bytearray(data)
+        else:
+            self._input += data
+        if self._reader is not None:
+            _wake(self._reader)
+        elif len(self._input) > READ_AHEAD and not self._paused:
+            self._paused = True
+            self.transport.pause_reading()
+        self.owner.arrived()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Wake whoever waits for the caller.
+
+        :param exc: Why the connection was lost.
+        """
+        self.closed = True
+        _wake(self._reader)
+        _wake(self._writer)
+        self.owner.lost()
+
+    def pause_writing(self) -> None:
+        """Let writers wait until the caller has read enough."""
+        self._writer = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        _wake(self._writer)
+        self._writer = None
+
+    @property
+    def has_input(self) -> bool:
+        """Whether bytes are waiting.
+
+        :returns: ``True`` if there are unread bytes.
+        """
+        return self._input is not None
+
+    async def read(self) -> bytes:
+        """Read the next packet.
+
+        :returns: Its payload.
+        :raises ConnectionGoneError: If the caller has gone.
+        """
+        while True:
+            packet = self._take()
+            if packet is not None:
+                return packet
+            if self.closed:
+                raise ConnectionGoneError('the caller closed the connection')
+            await self._more()
+
+    def _take(self) -> bytes | None:
+        buffered = self._input
+        if buffered is None or len(buffered) < _HEADER:
+            return None
+        size = int.from_bytes(buffered[:3], 'little')
+        self._check(size, buffered[3])
+        end = size + _HEADER
+        if len(buffered) < end:
+            return None
+        payload = bytes(memoryview(buffered)[_HEADER:end])
+        self._drop(buffered, end)
+        self._sequence = (self._sequence + 1) % _SEQUENCES
+        if size == MAX_FRAME:
+            self._parts = [*(self._parts or ()), payload]
+            return self._take()
+        if self._parts is not None:
+            payload = b''.join((*self._parts, payload))
+            self._parts = None
+        return payload
+
+    def _drop(self, buffered: bytearray, end: int) -> None:
+        if len(buffered) == end:
+            self._input = None
+        else:
+            del buffered[:end]
+
+    def _check(self, size: int, sequence: int) -> None:
+        if sequence != self._sequence:
+            raise PacketError(
+                1156,
+                f'packet {sequence} instead of {self._sequence}',
+            )
+        if size + sum(map(len, self._parts or ())) > self.limit:
+            raise PacketError(
+                1153,
+                f'a packet is larger than the limit of {self.limit} bytes',
+            )
+
+    async def _more(self) -> None:
+        if self._paused:
+            self._paused = False
+            self.transport.resume_reading()
+        self._reader = asyncio.get_running_loop().create_future()
+        try:
+            await self._reader
+        finally:
+            self._reader = None
+
+    def put(self, *packets: bytes) -> None:
+        """Frame packets into the output buffer.
+
+        :param packets: The payloads.
+        """
+        if self._output is None:
+            self._output = bytearray()
+        output = self._output
+        sequence = self._sequence
+        for payload in packets:
+            size = len(payload)
+            if size >= MAX_FRAME:
+                sequence = _put_frames(output, payload, sequence)
+                continue
+            output += (size | sequence << 24).to_bytes(4, 'little')
+            output += payload
+            sequence = (sequence + 1) % _SEQUENCES
+        self._sequence = sequence
+
+    async def drain(self) -> None:
+        """Send the output buffer; wait while the caller reads too slowly.
+
+        :raises ConnectionGoneError: If the caller has gone.
+        """
+        self.flush()
+        if self._writer is not None:
+            await self._writer
+        if self.closed:
+            raise ConnectionGoneError('the caller closed the connection')
+
+    def flush(self) -> None:
+        """Hand the output buffer to the transport."""
+        if self._output is not None:
+            if not self.closed:
+                self.transport.write(self._output)
+            self._output = None
+
+    async def write(self, data: bytes, drain: bool = True) -> None:
+        """Write a packet, in the way that ``mysql_mimic`` asks for it.
+
+        :param data: The payload.
+        :param drain: Whether to send it at once.
+        """
+        self.put(data)
+        if drain:
+            await self.drain()
+
+    def reset_seq(self) -> None:
+        """Start the sequence numbers of the next command."""
+        self._sequence = 0
+
+    async def start_tls(self, context: ssl.SSLContext) -> None:
+        """Change to TLS.
+
+        :param context: The server's context.
+        """
+        loop = asyncio.get_running_loop()
+        self.transport = await loop.start_tls(
+            self.transport, self, context, server_side=True
+        )
+
+    def close(self) -> None:
+        """Send what is buffered and close the connection."""
+        self.flush()
+        self.transport.close()
+
+
+def _put_frames(output: bytearray, payload: bytes, sequence: int) -> int:
+    view = memoryview(payload)
+    for start in range(0, len(payload) + 1, MAX_FRAME):
+        frame = view[start : start + MAX_FRAME]
+        output += (len(frame) | sequence << 24).to_bytes(4, 'little')
+        output += frame
+        sequence = (sequence + 1) % _SEQUENCES
+    return sequence
+
+
+def _wake(waiter: asyncio.Future[None] | None) -> None:
+    if waiter is not None and not waiter.done():
+        waiter.set_result(None)
