--- a/monsoonproxy/connections.py
+++ b/monsoonproxy/connections.py
@@ -10,7 +10,7 @@
 from mysql_mimic.control import Control
 from mysql_mimic.errors import MysqlError
 from mysql_mimic.session import BaseSession
-from mysql_mimic.types import Capabilities
+from mysql_mimic.types import Capabilities, ServerStatus
 
 from monsoonproxy import commands, packets, sessions
 from monsoonproxy.exceptions import (
@@ -187,7 +187,7 @@
                 server_version=VERSION,
                 connection_id=self.connection_id,
                 auth_data=nonce,
-                status_flags=self.status,
+                status_flags=ServerStatus(self.status),
                 auth_plugin_name=plugin.name,
             )
         )
