--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -1,11 +1,12 @@
 """Fixtures that start simulated backend servers and platforms."""
 
-from collections.abc import AsyncIterator
-from typing import Any
+import asyncio
+from collections.abc import AsyncIterator, Awaitable
+from typing import Any, TypeVar
 
 from emulator.database import Database, Options
 from emulator.platform import Platform
-from monsoonproxy.clock import Millis
+from monsoonproxy.clock import Millis, seconds
 from monsoonproxy.databases import GroupAdapter, GroupConnection
 from monsoonproxy.exceptions import BackendError
 from monsoonproxy.messages import Row
@@ -13,6 +14,8 @@
 from monsoonproxy.platforms import HttpPlatform
 from tests.fixtures import fixture
 
+_Error = TypeVar('_Error', bound=Exception)
+
 #: No test waits that long unless something hangs.
 PATIENCE = Millis(20_000)
 
@@ -85,6 +88,15 @@
     await made.close()
 
 
+async def raised(waiting: Awaitable[Any], kind: type[_Error]) -> _Error:
+    """Return the error that a call raises."""
+    try:
+        await waiting
+    except kind as exc:
+        return exc
+    raise AssertionError(f'{kind.__name__} was not raised')
+
+
 async def fetch(connection: GroupConnection, sql: str) -> list[Row]:
     """Run a statement and return all rows."""
     answer = await connection.query(sql.encode())
@@ -123,11 +135,12 @@
 
 async def received(connection: GroupConnection, offset: int) -> BackendReport:
     """Wait until a member has received an offset."""
-    report = await connection.status()
-    while report.received < offset:
-        report = await connection.wait_change(
-            report.received, report.applied, PATIENCE
-        )
+    async with asyncio.timeout(seconds(PATIENCE)):
+        report = await connection.status()
+        while report.received < offset:
+            report = await connection.wait_change(
+                report.received, report.applied, PATIENCE
+            )
     return report
 
 
--- a/tests/test_database_stand_in.py
+++ b/tests/test_database_stand_in.py
@@ -138,6 +138,15 @@
         assert await fetch(first, 'SELECT id FROM t ORDER BY id') == keys
 
 
+async def test_statement_is_atomic(group: Group) -> None:
+    """Guards against a failed statement that leaves some of its rows."""
+    connection = await group.connect(await group.start('db1', primary=True))
+    await run(connection, _TABLE, "INSERT INTO t VALUES (1, 'a')", 'BEGIN')
+    insert = "INSERT INTO t VALUES (2, 'b'), (1, 'c')"
+    assert await error_codes(connection, insert, 'COMMIT') == [1062, 0]
+    assert await fetch(connection, 'SELECT id FROM t') == [[b'1']]
+
+
 async def test_deadlock(group: Group) -> None:
     """Guards against two transactions that wait for each other for ever."""
     primary = await group.start('db1', primary=True)
--- a/tests/test_databases.py
+++ b/tests/test_databases.py
@@ -13,7 +13,7 @@
 )
 from monsoonproxy.models import Position
 from tests.fixtures import load_functions
-from tests.stand_ins import PATIENCE, Group, fetch, run
+from tests.stand_ins import PATIENCE, Group, fetch, raised, run
 
 load_tests = load_functions(__name__)
 
@@ -21,14 +21,6 @@
 _BIG = 500_000
 
 
-async def _raised(waiting: object, kind: type[Exception]) -> Exception:
-    try:
-        await waiting  # type: ignore[misc]
-    except kind as exc:
-        return exc
-    raise AssertionError(f'{kind.__name__} was not raised')
-
-
 def _fill(primary: Database, rows: int) -> None:
     # One shared value keeps the table itself small.
     value = b'x' * _BIG
@@ -38,6 +30,15 @@
     primary.member.commit(transaction)
 
 
+async def _settled(primary: Database) -> int:
+    """Wait until the backend server sends no more rows."""
+    sent: list[int] = []
+    while len(set(sent[-10:])) != 1 or len(sent) < 10:
+        sent.append(primary.service.counters.rows_sent)
+        await asyncio.sleep(0.03)
+    return sent[-1]
+
+
 async def test_values_byte_exact(group: Group) -> None:
     """Guards against values that change between database and caller."""
     connection = await group.connect(await group.start('db1', primary=True))
@@ -81,8 +82,7 @@
     keys = []
     async for batch in answer.rows:
         if not keys:
-            await asyncio.sleep(0.2)
-            assert primary.service.counters.rows_sent < 200
+            assert await _settled(primary) < 200
         keys += [row[0] for row in batch]
         size = sum(len(row[1] or b'') for row in batch)
         assert size < adapters.BATCH_BYTES + _BIG
@@ -116,8 +116,8 @@
         while True:
             await anext(answer.rows)
 
-    lost = await _raised(rest(), ConnectionLostError)
-    assert isinstance(lost, ConnectionLostError) and lost.sent
+    lost = await raised(rest(), ConnectionLostError)
+    assert lost.sent
 
 
 async def test_lost_during_a_statement(group: Group) -> None:
@@ -128,10 +128,10 @@
     while not primary.service.counters.reads:
         await asyncio.sleep(0.01)
     await primary.kill(connection.connection_id)
-    lost = await _raised(waiting, ConnectionLostError)
-    assert isinstance(lost, ConnectionLostError) and lost.sent
-    again = await _raised(connection.query(b'SELECT 1'), ConnectionLostError)
-    assert isinstance(again, ConnectionLostError) and not again.sent
+    lost = await raised(waiting, ConnectionLostError)
+    assert lost.sent
+    again = await raised(connection.query(b'SELECT 1'), ConnectionLostError)
+    assert not again.sent
 
 
 async def test_refused_and_silent(group: Group) -> None:
@@ -142,18 +142,18 @@
         unused.bind(('127.0.0.1', 0))
         port = unused.getsockname()[1]
         address = f'127.0.0.1:{port}'
-        refused = await _raised(
+        refused = await raised(
             adapter.connect(address, user='', password='', timeout=PATIENCE),
             ConnectionLostError,
         )
-    assert isinstance(refused, ConnectionLostError) and refused.refused
+    assert refused.refused
     frozen = await group.start('db1', primary=True)
     frozen.switch({'frozen': True})
-    silent = await _raised(
+    silent = await raised(
         adapter.connect(frozen.address, user='', password='', timeout=50),
         ConnectionLostError,
     )
-    assert isinstance(silent, ConnectionLostError) and not silent.refused
+    assert not silent.refused
 
 
 async def test_connection_limit(group: Group) -> None:
@@ -161,7 +161,7 @@
     primary = await group.start('db1', primary=True)
     primary.switch({'connection_limit': 2})
     first, _second = [await group.connect(primary) for _ in range(2)]
-    await _raised(group.connect(primary), TooManyConnectionsError)
+    await raised(group.connect(primary), TooManyConnectionsError)
     counters = primary.service.counters
     assert (counters.peak_connections, counters.refused_connections) == (2, 1)
     await first.close()
@@ -176,12 +176,11 @@
     connection, admin = await group.connect_each(primary, primary)
     insert = "INSERT INTO t VALUES (1, 'a', '')"
     await run(connection, _TABLE, insert)
-    duplicate = await _raised(fetch(connection, insert), BackendError)
-    assert isinstance(duplicate, BackendError)
+    duplicate = await raised(fetch(connection, insert), BackendError)
     assert (duplicate.code, duplicate.sqlstate) == (1062, '23000')
     await run(connection, 'BEGIN', 'DELETE FROM t WHERE id = 1')
     await admin.set_term(2, 'c')
-    await _raised(connection.query(b'COMMIT'), TermChangedError)
+    await raised(connection.query(b'COMMIT'), TermChangedError)
 
 
 async def test_reset(group: Group) -> None:
@@ -200,5 +199,5 @@
     connection = await group.connect(await group.start('db1', primary=True))
     await connection.kill(999_999)
     await connection.query(b'SELECT 1')
-    await _raised(connection.reset(), ConnectionLostError)
-    await _raised(connection.query(b'SELECT 2'), ConnectionLostError)
+    await raised(connection.reset(), ConnectionLostError)
+    await raised(connection.query(b'SELECT 2'), ConnectionLostError)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,11 +1,15 @@
 """Tests of the simulated platform and of the adapter for it."""
 
+from collections.abc import Awaitable
+from typing import Any
+
 from emulator.platform import Platform
 from monsoonproxy.adapters import platforms
 from monsoonproxy.exceptions import PlatformError, PreconditionError
 from monsoonproxy.models import Host, HostState
 from monsoonproxy.platforms import HttpPlatform
 from tests.fixtures import load_functions
+from tests.stand_ins import raised
 
 load_tests = load_functions(__name__)
 
@@ -16,13 +20,9 @@
 }
 
 
-async def _fails(waiting: object, *, refused: bool = False) -> None:
-    try:
-        await waiting  # type: ignore[misc]
-    except PlatformError as exc:
-        assert isinstance(exc, PreconditionError) == refused, repr(exc)
-        return
-    raise AssertionError('no error was raised')
+async def _fails(waiting: Awaitable[Any], *, refused: bool = False) -> None:
+    error = await raised(waiting, PlatformError)
+    assert isinstance(error, PreconditionError) == refused, repr(error)
 
 
 async def test_conditional_write(client: HttpPlatform) -> None:
