Poll the primary without a pause

Cause: half the spacing of samples still adds to every data age. Conclusion: kept until the polls are concentrated on the times that need them.

--- a/monsoonproxy/routing.py
+++ b/monsoonproxy/routing.py
@@ -45,7 +45,7 @@
     resolution: int = 256
     spill_wait: Millis = Millis(50)
     max_wait: Millis = Millis(100)
-    sample_interval: Millis = Millis(2)
+    sample_interval: Millis = Millis(0)
     report_timeout: Millis = Millis(20)
 
 
