--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -3,6 +3,7 @@
 import cappa
 
 from emulator.commands import DatabaseCommand, PlatformCommand
+from emulator.demo import DemoCommand
 
 
 @cappa.command(name='emulator')
@@ -10,7 +11,7 @@
     """Simulated backend servers and platform."""
 
     # Further commands are added to this union.
-    command: cappa.Subcommands[DatabaseCommand | PlatformCommand]
+    command: cappa.Subcommands[DatabaseCommand | PlatformCommand | DemoCommand]
 
 
 if __name__ == '__main__':
--- a/monsoonproxy/groups.py
+++ b/monsoonproxy/groups.py
@@ -18,6 +18,8 @@
 
 #: Time in ms after which a wait asks the backend servers again.
 _ASK_AGAIN = 25
+#: Pause in seconds while the clock has not reached the next ms.
+_CLOCK_STEP = 0.0005
 
 
 class Group:
@@ -185,6 +187,8 @@
         :param deadline: When to stop waiting.
         :returns: Whether it was confirmed.
         """
+        while self._clock.now() <= since:
+            await asyncio.sleep(_CLOCK_STEP)
         self.ask()
         return await self._wait(
             lambda: self._confirmed(since), deadline, ask=True
