Break off statements on a replaced primary

Cause: a statement that had been sent to a primary, or waited for a connection to it, when it failed kept waiting until its deadline of 10 s and then ended as 'outcome unknown'. Ruled out: the detection (the new primary was in office 0.54 s after the kill by the daemons' logs) and the promotion (40 ms). Conclusion: connections to the replaced primary are closed when a new primary is in office, and those who wait for a connection that can't be opened are told at once.

--- a/monsoonproxy/backends.py
+++ b/monsoonproxy/backends.py
@@ -187,6 +187,15 @@
         )
         self._hand_out()
 
+    def break_off(self, reason: str) -> None:
+        """Close all connections, so that statements on them end now.
+
+        :param reason: Why, for those who wait for a connection.
+        """
+        for number in tuple(self._connections):
+            self._spawn(self._close(number))
+        self._fail_waiting(ConnectionLostError(reason))
+
     def stop_lending(self) -> None:
         """Close idle connections; leased ones close on their return."""
         self._run(self._pool.stop(pools.CloseReason.NOT_HOLDER))
@@ -231,6 +240,11 @@
             if not waiter.done():
                 waiter.set_result(None)
 
+    def _fail_waiting(self, exc: ConnectionLostError) -> None:
+        for waiter in self._waiting:
+            if not waiter.done():
+                waiter.set_exception(exc)
+
     def _run(self, commands: list[pools.Command]) -> None:
         for command in commands:
             if isinstance(command, pools.Open):
@@ -251,6 +265,8 @@
         except (ConnectionLostError, BackendError) as exc:
             too_many = isinstance(exc, TooManyConnectionsError)
             self._pool.open_failed(too_many, self._clock.now())
+            if not too_many:
+                self._fail_waiting(ConnectionLostError(str(exc)))
             return
         number = next(self._numbers)
         self._connections[number] = conn
--- a/monsoonproxy/groups.py
+++ b/monsoonproxy/groups.py
@@ -52,6 +52,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._task_group: asyncio.TaskGroup | None = None
         self._watchers: dict[str, tuple[asyncio.Task[None], ...]] = {}
+        self._last_primary: str | None = None
         #: Backend servers that get no new work.
         self.leaving: frozenset[str] = frozenset()
         #: Latest position of the primary and when it was asked for.
@@ -282,12 +283,7 @@
         if isinstance(command, signals.Probe):
             self.backends[command.name].want_probe()
         elif isinstance(command, signals.PrimaryChanged):
-            _log.info(
-                '{}: {} is primary in term {}',
-                self.service,
-                command.name,
-                command.term,
-            )
+            self._primary_changed(command)
         elif isinstance(command, signals.GiveUp):
             _log.info(
                 '{}: A failover attempt ended: {}', self.service, command.reason
@@ -295,6 +291,19 @@
         else:
             self._spawn(self._step(command))
 
+    def _primary_changed(self, command: signals.PrimaryChanged) -> None:
+        _log.info(
+            '{}: {} is primary in term {}',
+            self.service,
+            command.name,
+            command.term,
+        )
+        replaced = self.backends.get(self._last_primary or '')
+        if replaced is not None:
+            # Its statements can no longer be acknowledged.
+            replaced.break_off('the primary was replaced')
+        self._last_primary = command.name
+
     async def _step(self, command: signals.Command) -> None:
         event = await self._steps.run(command)
         if event is not None:
