--- a/emulator/experiment_failover.py
+++ b/emulator/experiment_failover.py
@@ -4,15 +4,11 @@
 a later term.
 """
 
-import json
-import sys
 from collections.abc import Callable
 
-import attrs
 
 from emulator.virtual_cluster import Cluster, Plan
 from emulator.virtual_holder import StoreMode
-from monsoonproxy import signals
 
 Fault = Callable[[Cluster], None]
 
--- a/emulator/virtual_group.py
+++ b/emulator/virtual_group.py
@@ -1,5 +1,6 @@
 """A database group in virtual time, with the group protocol of the design."""
 
+import bisect
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -39,7 +40,7 @@
 
     def __init__(self) -> None:
         self.logs: dict[int, tuple[str, Log]] = {}
-        self.acknowledged: dict[Position, str] = {}
+        self.acknowledged: dict[Position, tuple[str, int]] = {}
         self.first_ack: dict[int, int] = {}
 
     def promoted(self, name: str, log: Log) -> None:
@@ -54,21 +55,28 @@
             f'{name} and {other} were promoted in term {term}'
         )
         self.logs[term] = (name, log.copy())
-        for position, write in self.acknowledged.items():
-            if position.term < term:
+        for position, (write, acked_in) in self.acknowledged.items():
+            if acked_in < term:
                 _check_contained(position, write, name, log)
 
-    def acknowledge(self, position: Position, write: str, now: int) -> None:
+    def acknowledge(
+        self, position: Position, write: str, acked_in: int, now: int
+    ) -> None:
         """Check an acknowledgement.
 
+        A write of an earlier term may be acknowledged as part of the log of a
+        later one, even if a term between them did not have it and was never
+        on a majority.
+
         :param position: Position of the write.
         :param write: The write.
+        :param acked_in: The term whose log was found on a majority.
         :param now: The current time.
         """
-        self.acknowledged[position] = write
-        self.first_ack.setdefault(position.term, now)
+        self.acknowledged[position] = (write, acked_in)
+        self.first_ack.setdefault(acked_in, now)
         for term, (name, log) in self.logs.items():
-            if term > position.term:
+            if term >= acked_in and term > position.term:
                 _check_contained(position, write, name, log)
 
     def check_confirmed(self, term: int, confirmed_at: int) -> None:
@@ -273,23 +281,31 @@
         self._changed()
 
     def _changed(self) -> None:
-        waiters, self._waiters = self._waiters, []
+        waiters = self._waiters.copy()
+        self._waiters.clear()
         for answer in waiters:
             answer()
 
 
 def _term_starts(log: Log) -> tuple[tuple[int, int], ...]:
-    starts: dict[int, int] = {}
-    for offset, (term, _write) in enumerate(log, start=1):
-        starts.setdefault(term, offset)
-    return tuple(starts.items())
+    starts = []
+    index = 0
+    while index < len(log):
+        term = log[index][0]
+        starts.append((term, index + 1))
+        index = bisect.bisect_right(log, term, key=_entry_term)
+    return tuple(starts)
+
+
+def _entry_term(entry: tuple[int, str]) -> int:
+    return entry[0]
 
 
 def _check_contained(
     position: Position, write: str, name: str, log: Log
 ) -> None:
     entry = (position.term, write)
+    term = log[-1][0]
     assert log[position.offset - 1 : position.offset] == [entry], (
-        f'{write} was acknowledged at {position}, but {name} was promoted '
-        f'in term {log[-1][0]} without it'
+        f'{write} at {position} is lost by the promotion of {name} in {term}'
     )
--- a/emulator/virtual_holder.py
+++ b/emulator/virtual_holder.py
@@ -277,6 +277,9 @@
 
     def _acknowledge(self) -> None:
         view = self.failover.evidence.view
+        committed = view.committed
+        if committed is None:
+            return
         done = [
             (write, position)
             for write, position in self._open.items()
@@ -286,7 +289,7 @@
             self._open.pop(write)
             now = self._network.now
             self.journal.acks.append((now, position.term))
-            self._promotions.acknowledge(position, write, now)
+            self._promotions.acknowledge(position, write, committed.term, now)
 
 
 _RUN: dict[type, Callable[[Holder, Any], None]] = {
--- a/emulator/virtual_network.py
+++ b/emulator/virtual_network.py
@@ -4,6 +4,7 @@
 a run can be repeated exactly.
 """
 
+import collections
 import heapq
 import itertools
 import random
@@ -42,6 +43,15 @@
     backlog: list[Action] = attrs.field(factory=list)
 
 
+@attrs.frozen
+class _Timer:
+    """An action of a process."""
+
+    name: str
+    incarnation: int
+    action: Action
+
+
 @attrs.define(eq=False)
 class _Request:
     """A request that waits for its answer."""
@@ -64,12 +74,20 @@
         self.now = 0
         self.rng = rng
         self.cuts: set[frozenset[str]] = set()
-        self._weather = weather
-        self._nodes: dict[str, _Node] = {}
-        self._queue: list[tuple[int, int, str, int, Action]] = []
+        self.weather = weather
+        self._nodes: dict[str, _Node] = collections.defaultdict(_Node)
+        self._queue: list[tuple[int, int, _Timer]] = []
         self._numbers = itertools.count()
         self._requests: list[_Request] = []
 
+    def is_alive(self, name: str) -> bool:
+        """Tell whether a process runs, even if it is frozen.
+
+        :param name: The process.
+        :returns: Whether it has not been killed.
+        """
+        return self._node(name).alive
+
     def is_up(self, name: str) -> bool:
         """Tell whether a process runs and is not frozen.
 
@@ -86,13 +104,8 @@
         :param name: The process; the action is void if it dies before.
         :param action: What to do.
         """
-        entry = (
-            self.now + delay,
-            next(self._numbers),
-            name,
-            self._node(name).incarnation,
-            action,
-        )
+        timer = _Timer(name, self._node(name).incarnation, action)
+        entry = (self.now + delay, next(self._numbers), timer)
         heapq.heappush(self._queue, entry)
 
     def run(self, until: int) -> None:
@@ -101,16 +114,16 @@
         :param until: The time in ms.
         """
         while self._queue and self._queue[0][0] <= until:
-            self.now, _number, name, incarnation, action = heapq.heappop(
-                self._queue
-            )
-            node = self._node(name)
-            if not node.alive or node.incarnation != incarnation:
+            entry = heapq.heappop(self._queue)
+            self.now = entry[0]
+            timer = entry[2]
+            node = self._node(timer.name)
+            if not node.alive or node.incarnation != timer.incarnation:
                 continue
             if node.frozen:
-                node.backlog.append(action)
+                node.backlog.append(timer.action)
             else:
-                action()
+                timer.action()
         self.now = until
 
     def send(self, source: str, target: str, action: Action) -> None:
@@ -122,7 +135,7 @@
         """
         if self._is_cut(source, target):
             return
-        if self.rng.random() < self._weather.loss:
+        if self.rng.random() < self.weather.loss:
             return
         self.after(self._latency(), target, action)
 
@@ -167,6 +180,16 @@
         """
         self.cuts.update(frozenset((name, other)) for other in others)
 
+    def mend(self, name: str, others: list[str]) -> None:
+        """Deliver messages between a process and others again.
+
+        :param name: The process.
+        :param others: The others.
+        """
+        self.cuts.difference_update(
+            frozenset((name, other)) for other in others
+        )
+
     def kill(self, name: str) -> None:
         """End a process; open connections to it are reset.
 
@@ -208,15 +231,15 @@
         node.backlog.clear()
 
     def _node(self, name: str) -> _Node:
-        return self._nodes.setdefault(name, _Node())
+        return self._nodes[name]
 
     def _is_cut(self, source: str, target: str) -> bool:
         return frozenset((source, target)) in self.cuts
 
     def _latency(self) -> int:
-        if self.rng.random() < self._weather.slow:
-            return self.rng.randint(1, self._weather.slow_latency)
-        return self._weather.latency
+        if self.rng.random() < self.weather.slow:
+            return self.rng.randint(1, self.weather.slow_latency)
+        return self.weather.latency
 
     def _close(self, entry: _Request, callback: Respond, refused: Any) -> None:
         if entry.open:
@@ -226,7 +249,7 @@
     def _reset(self, entry: _Request) -> None:
         if not self._is_cut(entry.source, entry.target):
             self.after(
-                2 * self._weather.latency,
+                2 * self.weather.latency,
                 entry.source,
                 lambda: self._close(entry, entry.fail, refused=True),
             )
--- a/monsoonproxy/quorum.py
+++ b/monsoonproxy/quorum.py
@@ -142,6 +142,7 @@
         self._term = 0
         self._lineage: Lineage = ()
         self._committed: Position | None = None
+        self._primary: str | None = None
 
     @property
     def members(self) -> tuple[str, ...]:
@@ -156,10 +157,7 @@
     @property
     def primary(self) -> str | None:
         """The primary of the current term, unless it is known to be demoted."""
-        for name, member in self._members.items():
-            if _is_primary(member.report, self._term):
-                return name
-        return None
+        return self._primary
 
     @property
     def committed(self) -> Position | None:
@@ -202,7 +200,7 @@
         if report.log_term == self._term and report.term_starts:
             self._lineage = report.term_starts
         member.count(report, sent_at, self._term)
-        self._commit()
+        self._update()
 
     def observe_commit(self, name: str, position: Position) -> None:
         """Count the position of a commit that the primary has answered.
@@ -213,7 +211,7 @@
         member = self._members.get(name)
         if member is not None and position.term == self._term:
             member.received = max(position.offset, member.received or 0)
-            self._commit()
+            self._raise_committed()
 
     def acknowledged(self, position: Position) -> bool:
         """Tell whether a write is on a majority.
@@ -259,7 +257,7 @@
         self._members = {
             name: self._members.get(name, _Member()) for name in members
         }
-        self._commit()
+        self._update()
 
     def _enter_term(self, term: int) -> None:
         self._term = term
@@ -269,7 +267,16 @@
             if member.report is not None:
                 member.count(member.report, member.sent_at, term)
 
-    def _commit(self) -> None:
+    def _update(self) -> None:
+        primaries = [
+            name
+            for name, member in self._members.items()
+            if _is_primary(member.report, self._term)
+        ]
+        self._primary = primaries[0] if primaries else None
+        self._raise_committed()
+
+    def _raise_committed(self) -> None:
         offsets = [
             member.received
             for member in self._members.values()
--- a/monsoonproxy/suspicion.py
+++ b/monsoonproxy/suspicion.py
@@ -202,14 +202,18 @@
         return len(staying) >= self._needed()
 
     def _probe_interval(self, suspects: list[str]) -> int | None:
-        """Return how often members are polled, or ``None`` if not at all."""
+        """Return how often members are polled, or ``None`` if not at all.
+
+        Reports from long polls are too old to show that no member is primary.
+        """
         idle = self._rules.evidence_age // 2
         quiet = self._own_silence(suspects)
         if suspects and 2 * quiet >= self.contacts.detection(suspects):
             return max(
                 self._rules.probe_interval, min(quiet // _SLOWDOWN, idle)
             )
-        if suspects and self.leaving is None and not self._is_contended():
+        settled = self.view.primary is not None and self.leaving is None
+        if settled and not self._is_contended():
             return None
         return idle
 
