--- a/emulator/cluster.py
+++ b/emulator/cluster.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+import tempfile
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -19,6 +20,8 @@
 _START_TIMEOUT = 20
 _STOP_TIMEOUT = 40
 _POLL_PAUSE = 0.05
+#: A process that was stopped by a signal accepts connections, but is silent.
+_STATUS_TIMEOUT = aiohttp.ClientTimeout(total=1)
 _HOST = '127.0.0.1'
 
 
@@ -84,6 +87,14 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
+    @property
+    def ended(self) -> bool:
+        """Tell whether the process was started and has ended.
+
+        :returns: Whether it has.
+        """
+        return self.process is not None and self.process.returncode is not None
+
     async def kill(self) -> None:
         """Kill the process and wait for its end."""
         self.send_signal(signal.SIGKILL)
@@ -173,10 +184,8 @@
         :param lines: Further TOML lines of each service.
         :returns: The version.
         """
-        base = self.directory / 'base.toml'
-        base.write_text(self.toml(lines))
         self.version += 1
-        cfg = attrs.evolve(configuration.load(str(base)), version=self.version)
+        cfg = attrs.evolve(self.configuration(lines), version=self.version)
         platform = HttpPlatform(f'http://{self.platform.address}')
         stored = await platform.read('configuration')
         etag = stored.etag if stored else None
@@ -184,6 +193,19 @@
         await platform.close()
         return self.version
 
+    def configuration(
+        self, lines: str | None = None
+    ) -> configuration.Configuration:
+        """Load the declaration of the services.
+
+        :param lines: Further TOML lines of each service.
+        :returns: The configuration, without a version.
+        """
+        with tempfile.NamedTemporaryFile(suffix='.toml') as base:
+            base.write(self.toml(lines).encode())
+            base.flush()
+            return configuration.load(base.name)
+
     def toml(self, lines: str | None = None) -> str:
         """Return the declaration of the services.
 
@@ -231,9 +253,16 @@
         """
         async with aiohttp.ClientSession() as session:
             url = f'http://{database.control}/status'
-            async with session.get(url) as response:
+            async with session.get(url, timeout=_STATUS_TIMEOUT) as response:
                 return await response.json()
 
+    async def reach(self, database: Process) -> None:
+        """Wait until a backend server's control port accepts connections.
+
+        :param database: The backend server.
+        """
+        await wait_port(database.control)
+
     async def primary(self, service: str) -> Process | None:
         """Find the primary of the highest term.
 
--- /dev/null
+++ b/emulator/faults.py
@@ -0,0 +1,356 @@
+"""Faults that experiments inject into a running site."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+
+from emulator.callers import now
+from emulator.cluster import Cluster, Process
+from monsoonproxy import placement
+from monsoonproxy.configuration import Configuration
+from monsoonproxy.exceptions import PreconditionError
+from monsoonproxy.models import Host
+from monsoonproxy.platforms import HttpPlatform
+from monsoonproxy.registries import Registry
+
+EVERYONE = ['*']
+#: User name of the daemons on the backend servers.
+_DAEMONS = 'proxy'
+_CONFIGURATION = 'configuration'
+
+
+@attrs.define
+class Scene:
+    """A site with load, as a fault acts on it.
+
+    :param cluster: The site.
+    :param service: The service under load.
+    :param hold: Time in s for which a fault lasts.
+    :param injected: Time in ms of the fault's main event.
+    :param notes: What was done, with times in ms.
+    """
+
+    cluster: Cluster
+    service: str
+    hold: float
+    injected: int = 0
+    notes: list[tuple[int, str]] = attrs.Factory(list)
+
+    @property
+    def members(self) -> dict[str, Process]:
+        """Return the backend servers of the service.
+
+        :returns: They, by name.
+        """
+        return self.cluster.databases[self.service]
+
+    def note(self, text: str, *, main: bool = True) -> None:
+        """Note that something is being done now.
+
+        :param text: What.
+        :param main: Whether the failover is measured from here.
+        """
+        moment = now()
+        self.notes.append((moment, text))
+        if main and not self.injected:
+            self.injected = moment
+
+    async def primary(self) -> Process:
+        """Find the primary.
+
+        :returns: The primary of the highest term.
+        :raises RuntimeError: If there is none.
+        """
+        found = await self.cluster.primary(self.service)
+        if found is None:
+            raise RuntimeError('the group has no primary')
+        return found
+
+    async def replicas(self) -> list[Process]:
+        """Find the replicas.
+
+        :returns: All other members.
+        """
+        primary = await self.primary()
+        return [each for each in self.members.values() if each is not primary]
+
+    def holder(self) -> Process:
+        """Find the daemon at rank 0 of the service.
+
+        :returns: The daemon.
+        """
+        daemons = {daemon.control: daemon for daemon in self.cluster.daemons}
+        zones = self.cluster.site.zones
+        hosts = [
+            Host(address, zones[number % len(zones)])
+            for number, address in enumerate(daemons)
+        ]
+        first = placement.holders(self.service, hosts, 1)[0]
+        return daemons[first.address]
+
+    async def switch(self, database: Process, **changes: Any) -> None:
+        """Change switches of a backend server.
+
+        :param database: The backend server.
+        :param changes: New values.
+        """
+        await self.cluster.switch(database.control, changes)
+
+    async def store(self, **changes: Any) -> None:
+        """Change switches of the platform.
+
+        :param changes: New values.
+        """
+        address = self.cluster.platform.address
+        await self.cluster.switch(address, changes, '/control/switches')
+
+
+Fault = Callable[[Scene], Awaitable[None]]
+faults: Registry[Fault] = Registry('fault')
+
+
+@faults.register('none')
+async def no_fault(scene: Scene) -> None:
+    """Do nothing, for comparison."""
+    scene.note('nothing')
+    await asyncio.sleep(scene.hold)
+
+
+@faults.register('kill-primary')
+async def kill_primary(scene: Scene) -> None:
+    """Kill the primary; start it again later."""
+    primary = await scene.primary()
+    scene.note(f'kill {primary.name}')
+    await primary.kill()
+    await asyncio.sleep(scene.hold)
+    scene.note(f'start {primary.name}')
+    await primary.start()
+
+
+@faults.register('cut-primary')
+async def cut_primary(scene: Scene) -> None:
+    """Cut the primary off from everyone."""
+    await _cut(scene, EVERYONE)
+
+
+@faults.register('cut-primary-members')
+async def cut_primary_from_members(scene: Scene) -> None:
+    """Cut the primary off from its replicas, but not from the daemons."""
+    await _cut(scene, [each.name for each in await scene.replicas()])
+
+
+@faults.register('cut-primary-daemons')
+async def cut_primary_from_daemons(scene: Scene) -> None:
+    """Cut the primary off from the daemons, but not from its replicas."""
+    await _cut(scene, [_DAEMONS])
+
+
+async def _cut(scene: Scene, names: list[str]) -> None:
+    primary = await scene.primary()
+    scene.note(f'cut {primary.name} off from {names}')
+    await scene.switch(primary, cut=names)
+    await asyncio.sleep(scene.hold)
+    scene.note('end the cut')
+    await scene.switch(primary, cut=[])
+
+
+@faults.register('stop-primary')
+async def stop_primary(scene: Scene) -> None:
+    """Stop the primary's process by a signal; continue it later."""
+    await _stop(scene, await scene.primary(), scene.hold)
+
+
+async def _stop(scene: Scene, process: Process, hold: float) -> None:
+    scene.note(f'stop {process.name}')
+    process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(hold)
+    scene.note(f'continue {process.name}')
+    process.send_signal(signal.SIGCONT)
+
+
+@faults.register('freeze-primary')
+async def freeze_primary(scene: Scene) -> None:
+    """Freeze the primary by its switch; its sockets stay open."""
+    primary = await scene.primary()
+    scene.note(f'freeze {primary.name}')
+    await scene.switch(primary, frozen=True)
+    await asyncio.sleep(scene.hold)
+    scene.note(f'wake {primary.name}')
+    await scene.switch(primary, frozen=False)
+
+
+@faults.register('lag-and-kill-primary')
+async def lag_and_kill_primary(scene: Scene) -> None:
+    """Put a replica far behind, then kill the primary."""
+    behind = (await scene.replicas())[0]
+    lag = scene.hold * 1000
+    scene.note(f'delay {behind.name} by {lag} ms', main=False)
+    await scene.switch(behind, receive_lag_ms=lag, apply_lag_ms=lag)
+    await asyncio.sleep(scene.hold / 2)
+    await kill_primary(scene)
+    await scene.switch(behind, receive_lag_ms=0, apply_lag_ms=0)
+
+
+@faults.register('kill-daemon')
+async def kill_daemon(scene: Scene) -> None:
+    """Kill the daemon at rank 0, with transactions open."""
+    daemon = scene.holder()
+    scene.note(f'kill {daemon.name}')
+    await daemon.kill()
+    await asyncio.sleep(scene.hold)
+    scene.note(f'start {daemon.name}')
+    await daemon.start()
+
+
+@faults.register('stop-candidate')
+async def stop_candidate(scene: Scene) -> None:
+    """Kill the primary and stop the daemon at rank 0 during the failover."""
+    primary = await scene.primary()
+    scene.note(f'kill {primary.name}')
+    await primary.kill()
+    # About when the detection time for refused connections has passed.
+    await asyncio.sleep(0.45)
+    await _stop(scene, scene.holder(), scene.hold)
+    await primary.start()
+
+
+@faults.register('store-down-before')
+async def store_down_before(scene: Scene) -> None:
+    """Kill the primary while the store is down."""
+    scene.note('store down', main=False)
+    await scene.store(down=True)
+    await asyncio.sleep(scene.hold / 4)
+    await kill_primary(scene)
+    await scene.store(down=False)
+
+
+@faults.register('store-down-during')
+async def store_down_during(scene: Scene) -> None:
+    """Take the store down just after the primary was killed."""
+    await _store_fails_after(scene, 0.3)
+
+
+@faults.register('store-down-after')
+async def store_down_after(scene: Scene) -> None:
+    """Take the store down when the failover is over."""
+    await _store_fails_after(scene, scene.hold / 2)
+
+
+async def _store_fails_after(scene: Scene, delay: float) -> None:
+    primary = await scene.primary()
+    scene.note(f'kill {primary.name}')
+    await primary.kill()
+    await asyncio.sleep(delay)
+    scene.note('store down')
+    await scene.store(down=True)
+    await asyncio.sleep(scene.hold)
+    await primary.start()
+    await scene.store(down=False)
+
+
+@faults.register('lose-store-answers')
+async def lose_store_answers(scene: Scene) -> None:
+    """Lose the answers of the store's writes around a failover."""
+    await scene.store(lose_answers=3)
+    await kill_primary(scene)
+    await scene.store(lose_answers=0)
+
+
+@faults.register('operators-race')
+async def operators_race(scene: Scene) -> None:
+    """Let two operators change the configuration at the same time."""
+    scene.note('two operators')
+    for number in range(5):
+        deadlines = (5000 + number, 6000 + number)
+        accepted = await asyncio.gather(
+            *(_apply(scene, f'default_deadline = {each}') for each in deadlines)
+        )
+        scene.note(f'round {number}: accepted {accepted}')
+        await asyncio.sleep(scene.hold / 5)
+
+
+async def _apply(scene: Scene, lines: str) -> int:
+    """Apply a configuration unless another operator was faster."""
+    cluster = scene.cluster
+    platform = HttpPlatform(f'http://{cluster.platform.address}')
+    stored = await platform.read(_CONFIGURATION)
+    if stored is None:
+        raise RuntimeError('the site has no configuration')
+    cfg = await asyncio.to_thread(cluster.configuration, lines)
+    version = Configuration.from_document(stored.body).version + 1
+    document = attrs.evolve(cfg, version=version).to_document()
+    try:
+        await platform.write(_CONFIGURATION, document, stored.etag)
+    except PreconditionError:
+        return 0
+    finally:
+        await platform.close()
+    cluster.version = version
+    return version
+
+
+@faults.register('second-failure')
+async def second_failure(scene: Scene) -> None:
+    """Kill the primary, then stop another member during the recovery."""
+    primary, replica = await scene.primary(), (await scene.replicas())[0]
+    scene.note(f'kill {primary.name}')
+    await primary.kill()
+    await asyncio.sleep(0.5)
+    await _stop(scene, replica, scene.hold / 3)
+    await asyncio.sleep(scene.hold / 3)
+    scene.note(f'start {primary.name}')
+    await primary.start()
+
+
+@faults.register('late-host-list')
+async def late_host_list(scene: Scene) -> None:
+    """Kill a daemon while the host list lags by 30 s."""
+    await scene.store(hosts_late_ms=30_000)
+    await kill_daemon(scene)
+    await scene.store(hosts_late_ms=0)
+
+
+@faults.register('leaving-replica')
+async def leaving_replica(scene: Scene) -> None:
+    """Let a replica report that it is leaving."""
+    replica = (await scene.replicas())[0]
+    scene.note(f'{replica.name} leaves')
+    await scene.switch(replica, leaving=True)
+    await asyncio.sleep(scene.hold)
+    await scene.switch(replica, leaving=False)
+
+
+@faults.register('terminate-daemon')
+async def terminate_daemon(scene: Scene) -> None:
+    """Shut the daemon at rank 0 down gracefully; start it again later."""
+    daemon = scene.holder()
+    scene.note(f'terminate {daemon.name}')
+    code = await daemon.stop()
+    scene.note(f'{daemon.name} ended with {code}')
+    await asyncio.sleep(scene.hold)
+    await daemon.start()
+
+
+async def heal(scene: Scene) -> None:
+    """End all faults and start all processes that have ended.
+
+    :param scene: The site.
+    """
+    for process in (*scene.members.values(), *scene.cluster.daemons):
+        process.send_signal(signal.SIGCONT)
+        if process.ended:
+            await process.start()
+    for database in scene.members.values():
+        await scene.cluster.reach(database)
+        await scene.switch(
+            database,
+            cut=[],
+            frozen=False,
+            leaving=False,
+            receive_lag_ms=0,
+            apply_lag_ms=0,
+        )
+    await scene.store(down=False, lose_answers=0, hosts_late_ms=0)
--- a/emulator/ledger.py
+++ b/emulator/ledger.py
@@ -147,7 +147,7 @@
         item = f'p{part}'
         start = 1000 * part + 1
         rows = ','.join(
-            f"({start + index}, '{item}', '{text}', 'setup')"
+            f"({start + index}, '{item}', '{text}', '{text}')"
             for index, text in enumerate(sorted(parts(item)))
         )
         try:
