Encrypt connections between daemons, serve metrics, read keys and certificates

Cause: daemons talked in clear, tokens were signed with a built-in key, and nothing was exposed to operators. Ruled out: one server key without a list of accepted senders, since anyone with the public key could send statements; a ZAP authenticator lets in the key pairs of the site only. Replacing the key of a bound socket, which closes its connections; instead a link tries the older key when the newest is refused, so daemons restart one by one during a rotation.

--- a/emulator/cluster.py
+++ b/emulator/cluster.py
@@ -14,7 +14,8 @@
 import aiohttp
 import attrs
 
-from monsoonproxy import configuration
+from monsoonproxy import configuration, keys
+from monsoonproxy.clock import Clock
 from monsoonproxy.platforms import HttpPlatform
 
 _START_TIMEOUT = 20
@@ -136,6 +137,8 @@
             self._daemon(number) for number in range(site.daemons)
         ]
         self.version = 0
+        self.keys = keys.create(Clock().wall())
+        self.directory.joinpath('keys.toml').write_text(self.keys.to_toml())
 
     async def start(self) -> None:
         """Start all processes and wait until callers are served."""
@@ -334,6 +337,7 @@
                     f"listen_address = '{_HOST}:{port}'",
                     f"availability_zone = '{self._zone(number)}'",
                     f"platform_url = 'http://{self.platform.address}'",
+                    f"key_file = '{self.directory}/keys.toml'",
                 )
             )
         )
--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -245,7 +245,8 @@
 
 async def _versions(cluster: Cluster) -> list[int]:
     statuses = [
-        await control_client.ask(daemon.control) for daemon in cluster.daemons
+        await control_client.ask(daemon.control, keys=cluster.keys.peers)
+        for daemon in cluster.daemons
     ]
     return [status['configuration_version'] for status in statuses]
 
--- /dev/null
+++ b/monsoonproxy/credentials.py
@@ -0,0 +1,69 @@
+"""Log-ins, keys and certificates that settings refer to."""
+
+import os
+import pathlib
+import ssl
+
+from monsoonproxy import keys
+from monsoonproxy.backends import Credentials
+from monsoonproxy.clock import Clock
+from monsoonproxy.exceptions import ConfigurationError, SettingsError
+from monsoonproxy.logs import log_for
+from monsoonproxy.settings import Settings
+
+_log = log_for('credentials')
+
+
+def read_credentials(reference: str) -> Credentials:
+    """Read the log-in for backend servers.
+
+    :param reference: ``env:NAME`` or ``file:/PATH`` of a text
+        ``user:password``.
+    :returns: The log-in.
+    :raises ConfigurationError: If there is no such text.
+    """
+    kind, place = reference.split(':', 1)
+    try:
+        text = (
+            os.environ[place]
+            if kind == 'env'
+            else pathlib.Path(place).read_text()
+        )
+    except (KeyError, OSError):
+        raise ConfigurationError(f'{reference} can not be read') from None
+    login = text.strip().split(':', 1)
+    return Credentials(login[0], ''.join(login[1:]))
+
+
+def key_ring(settings: Settings, clock: Clock) -> keys.KeyRing:
+    """Read the key file, or make a token key that only this daemon knows.
+
+    :param settings: The daemon's settings.
+    :param clock: Source of the wall-clock time.
+    :returns: The keys.
+    :raises SettingsError: If the file is not valid.
+    """
+    if settings.key_file is not None:
+        return keys.load(settings.key_file)
+    _log.warning('No key file: tokens of this daemon are valid here only')
+    ring = keys.create(clock.wall())
+    return keys.KeyRing(ring.tokens)
+
+
+def tls_context(settings: Settings) -> ssl.SSLContext | None:
+    """Return the TLS settings towards callers.
+
+    :param settings: The daemon's settings.
+    :returns: The context, or ``None`` for connections without TLS.
+    :raises SettingsError: If a file is missing or not valid.
+    """
+    if settings.tls_certificate_file is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    try:
+        context.load_cert_chain(
+            settings.tls_certificate_file, settings.tls_key_file
+        )
+    except OSError as exc:
+        raise SettingsError(f'{settings.tls_certificate_file}: {exc}') from exc
+    return context
--- a/monsoonproxy/dispatch.py
+++ b/monsoonproxy/dispatch.py
@@ -29,7 +29,7 @@
     :param entry: The entry side.
     :param hosting: The held services.
     :param control: Membership and configuration.
-    :param status: Describes the daemon as JSON.
+    :param operate: Answers an operator's request by its topic, as JSON.
     """
 
     def __init__(
@@ -38,13 +38,13 @@
         entry: Entry,
         hosting: Hosting,
         control: Control,
-        status: Callable[[], bytes],
+        operate: Callable[[str], bytes],
     ) -> None:
         self._own = own
         self._entry = entry
         self._hosting = hosting
         self._control = control
-        self._status = status
+        self._operate = operate
         self._tasks: set[asyncio.Task[None]] = set()
         self.listener: Listener | None = None
 
@@ -80,7 +80,8 @@
         if isinstance(message, messages.StatementRequest):
             self._submit(sender, message)
         elif isinstance(message, messages.StatusRequest):
-            reply = messages.StatusReply(message.request, self._status())
+            document = self._operate(message.topic)
+            reply = messages.StatusReply(message.request, document)
             self._spawn(self._answer(sender, reply))
         elif isinstance(message, _FOR_HOLDERS):
             for holder in self._hosting.all():
--- a/monsoonproxy/hosting.py
+++ b/monsoonproxy/hosting.py
@@ -2,20 +2,18 @@
 
 import asyncio
 import itertools
-import os
-import pathlib
 import random
 from collections.abc import Coroutine, Iterable
 
 import attrs
 
 from monsoonproxy import adapters, placement, pools, signals
-from monsoonproxy.backends import Backend, Credentials
+from monsoonproxy.backends import Backend
 from monsoonproxy.claims import TermClaims
 from monsoonproxy.clock import Clock, seconds
 from monsoonproxy.configuration import Configuration
+from monsoonproxy.credentials import read_credentials
 from monsoonproxy.declarations import Service
-from monsoonproxy.exceptions import ConfigurationError
 from monsoonproxy.failover import Failover
 from monsoonproxy.groups import Group
 from monsoonproxy.holders import Holder, leaving_members
@@ -231,24 +229,3 @@
         known.get(member.name, member.address) != member.address
         for member in new.members
     )
-
-
-def read_credentials(reference: str) -> Credentials:
-    """Read the log-in for backend servers.
-
-    :param reference: ``env:NAME`` or ``file:/PATH`` of a text
-        ``user:password``.
-    :returns: The log-in.
-    :raises ConfigurationError: If there is no such text.
-    """
-    kind, place = reference.split(':', 1)
-    try:
-        text = (
-            os.environ[place]
-            if kind == 'env'
-            else pathlib.Path(place).read_text()
-        )
-    except (KeyError, OSError):
-        raise ConfigurationError(f'{reference} can not be read') from None
-    login = text.strip().split(':', 1)
-    return Credentials(login[0], ''.join(login[1:]))
--- a/monsoonproxy/links.py
+++ b/monsoonproxy/links.py
@@ -1,6 +1,6 @@
 """The connections of a daemon to its peers, opened when they are needed."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from monsoonproxy import messages
 from monsoonproxy.clock import seconds
@@ -22,7 +22,7 @@
     :param supervisor: Runs the tasks of the links.
     :param handler: Takes the replies of peers.
     :param lost: Takes the addresses of broken connections.
-    :param keys: CURVE keys, or ``None``.
+    :param keys: CURVE key pairs, newest first.
     """
 
     def __init__(
@@ -33,7 +33,7 @@
         *,
         handler: ReplyHandler,
         lost: LostHandler,
-        keys: CurveKeys | None,
+        keys: Sequence[CurveKeys] = (),
     ) -> None:
         self._own = own
         self._identity = identity
--- a/monsoonproxy/metrics.py
+++ b/monsoonproxy/metrics.py
@@ -29,6 +29,8 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._counts: collections.Counter[_Key] = collections.Counter()
+        self._totals: collections.Counter[tuple[str, str, str]]
+        self._totals = collections.Counter()
         self._latencies: dict[tuple[str, str], HdrHistogram] = {}
         self._minute = 0
 
@@ -50,13 +52,22 @@
         if minute != self._minute:
             self._minute = minute
             self._forget(minute - _KEPT_MINUTES)
-        self._counts[(minute, service, request_class, outcome.value)] += 1
+        labels = (service, request_class, outcome.value)
+        self._counts[(minute, *labels)] += 1
+        self._totals[labels] += 1
         histogram = self._latencies.get((service, request_class))
         if histogram is None:
             histogram = HdrHistogram(1, _LONGEST_MS, _DIGITS)
             self._latencies[(service, request_class)] = histogram
         histogram.record_value(max(1, min(took, _LONGEST_MS)))
 
+    def totals(self) -> Iterable[tuple[tuple[str, str, str], int]]:
+        """Yield the counters since the start.
+
+        :yields: Service, class and outcome, with their count.
+        """
+        yield from self._totals.items()
+
     def counters(self) -> list[dict[str, Any]]:
         """Return the counters per minute.
 
--- a/monsoonproxy/peers.py
+++ b/monsoonproxy/peers.py
@@ -6,13 +6,14 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TypeAlias
 
 import attrs
 import msgspec
 import zmq
 from zmq.asyncio import Context, Socket
+from zmq.auth.asyncio import AsyncioAuthenticator
 from zmq.utils.monitor import parse_monitor_message
 
 from monsoonproxy import messages
@@ -31,6 +32,22 @@
 _RECONNECT_MAX_MS = 1_000
 _HEARTBEAT_MS = 500
 _HEARTBEAT_TIMEOUT_MS = 1_500
+_ZAP_DOMAIN = b'peers'
+_ZAP_ENDPOINT = 'inproc://zeromq.zap.01'
+_REFUSED_EVENTS = frozenset(
+    (
+        zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL,
+        zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL,
+        zmq.EVENT_HANDSHAKE_FAILED_AUTH,
+    )
+)
+_WATCHED_EVENTS = (
+    zmq.EVENT_HANDSHAKE_SUCCEEDED
+    | zmq.EVENT_DISCONNECTED
+    | zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL
+    | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
+    | zmq.EVENT_HANDSHAKE_FAILED_AUTH
+)
 
 
 @attrs.frozen
@@ -47,15 +64,17 @@
     secret: bytes = attrs.field(repr=False)
 
 
-def _limit(sock: Socket, keys: CurveKeys | None) -> None:
+def _limit(sock: Socket) -> None:
     sock.setsockopt(zmq.LINGER, 0)
     sock.setsockopt(zmq.SNDHWM, _HIGH_WATER_MARK)
     sock.setsockopt(zmq.RCVHWM, _HIGH_WATER_MARK)
     sock.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_MS)
     sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MS)
-    if keys:
-        sock.setsockopt(zmq.CURVE_PUBLICKEY, keys.public)
-        sock.setsockopt(zmq.CURVE_SECRETKEY, keys.secret)
+
+
+def _set_keys(sock: Socket, keys: CurveKeys) -> None:
+    sock.setsockopt(zmq.CURVE_PUBLICKEY, keys.public)
+    sock.setsockopt(zmq.CURVE_SECRETKEY, keys.secret)
 
 
 class Listener:
@@ -63,17 +82,23 @@
 
     :param address: ``ip:port`` to bind.
     :param handler: Called with the sender's identity and each message.
-    :param keys: CURVE keys, or ``None`` for plain sockets.
+    :param keys: CURVE key pairs, newest first; empty for plain sockets. Only
+        senders with one of these pairs are let in.
     """
 
     def __init__(
-        self, address: str, handler: RequestHandler, keys: CurveKeys | None
+        self,
+        address: str,
+        handler: RequestHandler,
+        keys: Sequence[CurveKeys] = (),
     ) -> None:
         self._handler = handler
         self._socket = Context.instance().socket(zmq.ROUTER)
-        _limit(self._socket, keys)
+        _limit(self._socket)
         if keys:
+            _set_keys(self._socket, keys[0])
             self._socket.setsockopt(zmq.CURVE_SERVER, 1)
+            self._socket.setsockopt(zmq.ZAP_DOMAIN, _ZAP_DOMAIN)
         self._socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
         # A peer that reconnects takes its identity over from its old
         # connection, which may not have been seen to break yet.
@@ -110,6 +135,42 @@
         self._socket.close()
 
 
+class Authenticator:
+    """Lets in the holders of some CURVE keys only.
+
+    One serves all listeners of a process.
+
+    :param keys: The accepted key pairs.
+    """
+
+    def __init__(self, keys: Sequence[CurveKeys]) -> None:
+        self._zap = AsyncioAuthenticator(Context.instance())
+        self._zap.start()
+        self._zap.configure_curve_callback(
+            _ZAP_DOMAIN.decode(),
+            _Accepted(frozenset(pair.public for pair in keys)),
+        )
+
+    def close(self) -> None:
+        """Stop answering."""
+        # Closing alone frees the endpoint later, in a thread of libzmq.
+        self._zap.zap_socket.unbind(_ZAP_ENDPOINT)
+        self._zap.stop()
+
+
+@attrs.frozen
+class _Accepted:
+    publics: frozenset[bytes]
+
+    def callback(self, _domain: str, key: bytes) -> bool:
+        """Tell whether a key is accepted.
+
+        :param key: The sender's public key, Z85 text.
+        :returns: Whether it may send.
+        """
+        return key in self.publics
+
+
 class Link:
     """A connection to one peer.
 
@@ -117,7 +178,9 @@
     :param identity: Own identity, unique per incarnation.
     :param handler: Called with the peer's address and each reply.
     :param lost: Called with the peer's address when the connection breaks.
-    :param keys: CURVE keys, or ``None`` for plain sockets.
+    :param keys: CURVE key pairs, newest first; empty for plain sockets. If
+        the peer refuses one, the next is tried, so that daemons with old and
+        new keys reach each other during a rotation.
     """
 
     def __init__(
@@ -127,15 +190,15 @@
         *,
         handler: ReplyHandler,
         lost: LostHandler,
-        keys: CurveKeys | None,
+        keys: Sequence[CurveKeys] = (),
     ) -> None:
         self.address = address
         self._handler = handler
         self._lost = lost
+        self._keys = keys
+        self._attempts = 0
         self._socket = Context.instance().socket(zmq.DEALER)
-        _limit(self._socket, keys)
-        if keys:
-            self._socket.setsockopt(zmq.CURVE_SERVERKEY, keys.public)
+        _limit(self._socket)
         self._socket.setsockopt(zmq.IDENTITY, identity)
         # Messages are only queued for an established connection. A message
         # that could not be delivered is dropped with its connection, and is
@@ -143,12 +206,10 @@
         self._socket.setsockopt(zmq.IMMEDIATE, 1)
         self._socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
         self._socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
-        self._monitor = self._socket.get_monitor_socket(
-            zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED
-        )
+        self._monitor = self._socket.get_monitor_socket(_WATCHED_EVENTS)
         self.connected = False
         self._ready = asyncio.Event()
-        self._socket.connect(f'tcp://{address}')
+        self._connect()
 
     async def run(self) -> None:
         """Receive replies and connection events until cancelled."""
@@ -197,9 +258,27 @@
     async def _watch(self) -> None:
         while True:
             event = parse_monitor_message(await self._monitor.recv_multipart())
-            self.connected = event['event'] == zmq.EVENT_HANDSHAKE_SUCCEEDED
-            if self.connected:
+            kind = event['event']
+            if kind in _REFUSED_EVENTS:
+                self._try_next_key()
+            elif kind == zmq.EVENT_HANDSHAKE_SUCCEEDED:
+                self.connected = True
                 self._ready.set()
-            else:
+            elif self.connected:
+                self.connected = False
                 self._ready.clear()
                 self._lost(self.address)
+
+    def _connect(self) -> None:
+        if self._keys:
+            server = self._keys[self._attempts % len(self._keys)]
+            _set_keys(self._socket, self._keys[0])
+            self._socket.setsockopt(zmq.CURVE_SERVERKEY, server.public)
+        self._socket.connect(f'tcp://{self.address}')
+
+    def _try_next_key(self) -> None:
+        if self._attempts == 0:
+            _log.warning('{} refused the newest key', self.address)
+        self._attempts += 1
+        self._socket.disconnect(f'tcp://{self.address}')
+        self._connect()
--- a/monsoonproxy/settings.py
+++ b/monsoonproxy/settings.py
@@ -27,8 +27,8 @@
     seed_peers: tuple[str, ...] = fields.addresses(
         'Daemons to ask while the platform is down.', default=()
     )
-    token_key_file: str | None = fields.word(
-        'Keys for session tokens, made by monsoonctl keys.', default=None
+    key_file: str | None = fields.word(
+        'Keys for tokens and peers, made by monsoonctl keys.', default=None
     )
     tls_certificate_file: str | None = fields.word(
         'Certificate for callers; unset for no TLS.', default=None
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 
 import zmq
 
 from monsoonproxy import messages
 from monsoonproxy.exceptions import PeerError
-from monsoonproxy.peers import CurveKeys, Link, Listener
+from monsoonproxy.peers import Authenticator, CurveKeys, Link, Listener
 from tests.fixtures import fixture, load_functions
 
 load_tests = load_functions(__name__)
@@ -24,10 +24,13 @@
 class Pair:
     """A listener that answers pings, and a link to it."""
 
-    def __init__(self, server: CurveKeys | None, client: CurveKeys | None):
+    def __init__(
+        self, server: Sequence[CurveKeys], client: Sequence[CurveKeys]
+    ) -> None:
         self.address = _free_address()
         self.replies: asyncio.Queue[messages.AnyMessage] = asyncio.Queue()
         self.lost = asyncio.Event()
+        self.authenticator = Authenticator(server)
         self.listener = Listener(self.address, self._answer, server)
         self.link = Link(
             self.address,
@@ -54,6 +57,7 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self.listener.close()
         self.link.close()
+        self.authenticator.close()
 
 
 def _keys() -> CurveKeys:
@@ -63,7 +67,7 @@
 @fixture
 async def pair() -> AsyncIterator[Pair]:
     """Yield a connected pair with one common key pair."""
-    keys = _keys()
+    keys = (_keys(),)
     made = Pair(keys, keys)
     yield made
     await made.close()
@@ -90,7 +94,27 @@
 
 async def test_wrong_key_is_refused() -> None:
     """Guards against a peer that knows another site's key."""
-    made = Pair(_keys(), _keys())
+    made = Pair((_keys(),), (_keys(),))
     connected = await made.link.wait_connected(0.5)
     await made.close()
     assert not connected
+
+
+async def test_unknown_sender_is_refused() -> None:
+    """Guards against a sender that knows only the public key."""
+    server = _keys()
+    impostor = CurveKeys(server.public, _keys().secret)
+    stranger = _keys()
+    made = Pair((server,), (stranger, impostor))
+    connected = await made.link.wait_connected(0.5)
+    await made.close()
+    assert not connected
+
+
+async def test_rotation_keeps_peers_connected() -> None:
+    """Guards against daemons that lose each other during a rotation."""
+    old, new = _keys(), _keys()
+    made = Pair((old, new), (new, old))
+    connected = await made.link.wait_connected(10)
+    await made.close()
+    assert connected
