End the endless cycle search after a lock hand-over

The search followed a granted lock back to its new owner while that owner's task had not run yet. A run with six writers and killed primaries showed it as a server that spun for ever.

--- a/emulator/locks.py
+++ b/emulator/locks.py
@@ -91,6 +91,9 @@
             if not granted.done():
                 self._owners[key] = owner
                 owner.held.add(key)
+                # The search for cycles must not see the new owner wait for
+                # itself before its task has run.
+                owner.awaited = None
                 granted.set_result(None)
                 return
         self._queues.pop(key, None)
--- a/tests/test_database_stand_in.py
+++ b/tests/test_database_stand_in.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from emulator.database import Database
+from emulator.locks import Locks, Owner
 from emulator.log import Entry, Log
 from monsoonproxy.databases import GroupConnection
 from monsoonproxy.models import Position, Role
@@ -161,6 +162,22 @@
     assert sorted(codes) == [0, 1213]
 
 
+async def test_lock_hand_over() -> None:
+    """Guards against an endless search for a cycle after a hand-over."""
+    locks = Locks()
+    first, second, third = Owner(), Owner(), Owner()
+    key = ('t', (1,))
+    await locks.acquire(key, first)
+    waiting = asyncio.create_task(locks.acquire(key, second))
+    await asyncio.sleep(0)
+    locks.release(first)
+    assert second.awaited is None
+    last = asyncio.create_task(locks.acquire(key, third))
+    await waiting
+    locks.release(second)
+    await last
+
+
 async def test_kill_connection(group: Group) -> None:
     """Guards against a commit that takes effect after KILL was answered."""
     primary = await group.start('db1', primary=True)
--- a/tests/test_databases.py
+++ b/tests/test_databases.py
@@ -5,6 +5,7 @@
 
 from emulator.database import Database
 from monsoonproxy import adapters
+from monsoonproxy.clock import Millis
 from monsoonproxy.exceptions import (
     BackendError,
     ConnectionLostError,
@@ -79,7 +80,7 @@
     await fetch(connection, _TABLE)
     _fill(primary, 200)
     answer = await connection.query(b'SELECT * FROM t')
-    keys = []
+    keys: list[bytes | None] = []
     async for batch in answer.rows:
         if not keys:
             assert await _settled(primary) < 200
@@ -150,7 +151,9 @@
     frozen = await group.start('db1', primary=True)
     frozen.switch({'frozen': True})
     silent = await raised(
-        adapter.connect(frozen.address, user='', password='', timeout=50),
+        adapter.connect(
+            frozen.address, user='', password='', timeout=Millis(50)
+        ),
         ConnectionLostError,
     )
     assert not silent.refused
