--- a/emulator/experiment_routing.py
+++ b/emulator/experiment_routing.py
@@ -227,7 +227,8 @@
         self.sim.after(1000, self._monitor)
 
     def _tick(self) -> None:
-        self._start()
+        if self.waiting:
+            self._start()
         self.sim.after(1, self._tick)
 
     def _figures(self) -> dict[str, int]:
