Refuse a request only for a shortage to which it contributes

Cause: with the primary's queue full of writes, every enquiry was refused too, although the replicas were free: a shortage that existed before counted. Ruled out: a wrong estimate of service times, since the shortage had no overflow from the replicas.

--- a/monsoonproxy/backlog.py
+++ b/monsoonproxy/backlog.py
@@ -134,7 +134,7 @@
         gain = entry.weight
         self.add(entry)
         while gain > 0:
-            shortage = self._shortage(outlook, 0)
+            shortage = self._shortage(outlook, 0, entry)
             if shortage is None and len(self) <= self._limit:
                 return victims
             victim = self._victim(shortage, entry.weight, entry.ticket.number)
@@ -166,12 +166,15 @@
             shortage = self._shortage(outlook, tolerance)
         return victims
 
-    def _shortage(self, outlook: Outlook, tolerance: float) -> Shortage | None:
+    def _shortage(
+        self, outlook: Outlook, tolerance: float, entry: Entry | None = None
+    ) -> Shortage | None:
         """Compare demand and capacity before each deadline.
 
         Reads that the replicas can't do in time fall to the primary. Slots
         are taken as perfectly divisible, so that work that fits is never
-        found not to fit.
+        found not to fit. With an entry, only a shortage counts to which that
+        entry contributes.
         """
         own = self.own.demand()
         shared = self.shared.demand()
@@ -184,10 +187,19 @@
             shared_work += shared.get(due, 0)
             excess = shared_work - outlook.replicas.until(remaining)
             overflow = max(overflow, excess)
-            if own_work + overflow > outlook.primary.until(remaining):
+            short = own_work + overflow > outlook.primary.until(remaining)
+            if short and self._contributes(entry, due, overflow):
                 return Shortage(due, overflow > 0)
         return None
 
+    def _contributes(
+        self, entry: Entry | None, due: int, overflow: float
+    ) -> bool:
+        if entry is None:
+            return True
+        read = self.lane(entry.ticket) is self.shared
+        return due > entry.ticket.deadline and (overflow > 0 or not read)
+
     def _victim(
         self, shortage: Shortage | None, below: float, spared: int
     ) -> Entry | None:
