--- a/monsoonproxy/slots.py
+++ b/monsoonproxy/slots.py
@@ -1,5 +1,7 @@
 """Statements that run on one backend server."""
 
+import math
+
 import attrs
 
 from monsoonproxy.routing import Load
@@ -69,7 +71,8 @@
         """Return how many more statements to send.
 
         A slot is idle for a round trip after each answer unless another
-        statement already waits at the backend server.
+        statement already waits at the backend server. Half a statement more
+        covers service times that vary.
 
         :param round_trip: Time between answer and next statement.
         :param mean: Mean service time.
@@ -78,7 +81,8 @@
         if not self.slots:
             return 0
         ahead = self.slots * round_trip / max(mean, 1)
-        return self.slots + max(1, round(ahead)) - len(self._running)
+        limit = self.slots + math.ceil(ahead + _SPREAD)
+        return limit - len(self._running)
 
     def busy(self, now: int) -> float:
         """Estimate the work in flight.
@@ -104,3 +108,6 @@
             service_time=mean,
             slots=max(1, self.slots),
         )
+
+
+_SPREAD = 0.5
