--- a/monsoonproxy/backends.py
+++ b/monsoonproxy/backends.py
@@ -17,15 +17,26 @@
     ConnectionLostError,
     TooManyConnectionsError,
 )
-from monsoonproxy.models import BackendReport
+from monsoonproxy.models import BackendReport, Role
 
 #: Called with the name, the report and the time its poll was sent.
 ReportHandler: TypeAlias = Callable[[str, BackendReport, Millis], None]
 #: Called with the name and whether the connection was refused.
 UnreachableHandler: TypeAlias = Callable[[str, bool], None]
 
-#: Longest time in ms that a poll waits for a change of position.
-POLL_TIMEOUT = Millis(50)
+#: Longest time in ms that a poll of a replica waits for a change of position,
+#: while the service is in use and while it is idle.
+_REPLICA_WAIT = Millis(50)
+_REPLICA_WAIT_IDLE = Millis(150)
+#: Time in ms between two polls of the primary. These do not wait for a change:
+#: the time that a poll waits would count as age of the data.
+_PRIMARY_INTERVAL = 20
+_PRIMARY_INTERVAL_IDLE = 100
+#: Time in ms without a statement after which a service counts as idle.
+_IDLE_AFTER = 1_000
+#: Pause in ms between two probes, which lets several waiting statements share
+#: the next one.
+_PROBE_PAUSE = 2
 #: Time in ms beyond its own timeout after which a poll counts as failed.
 _POLL_GRACE = 250
 #: Pause in ms between two polls, which bounds their rate under load.
@@ -98,6 +109,7 @@
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._probe_wanted = asyncio.Event()
+        self._used_at = clock.now()
 
     async def connect(
         self, timeout: Millis = _CONNECT_TIMEOUT
@@ -130,6 +142,10 @@
                 on_unreachable(self.name, getattr(exc, 'refused', False))
             await asyncio.sleep(seconds(_RECONNECT_PAUSE))
 
+    def touch(self) -> None:
+        """Note that the service is in use, which makes polls more frequent."""
+        self._used_at = self._clock.now()
+
     def want_probe(self) -> None:
         """Ask :meth:`probe` for a status that is requested from now on."""
         self._probe_wanted.set()
@@ -287,13 +303,9 @@
             report = await self._in_time(conn.status())
             while True:
                 on_report(self.name, report, sent_at)
-                await asyncio.sleep(seconds(_POLL_PAUSE))
+                await asyncio.sleep(seconds(self._pause(report.role)))
                 sent_at = self._clock.now()
-                report = await self._in_time(
-                    conn.wait_change(
-                        report.received, report.applied, POLL_TIMEOUT
-                    )
-                )
+                report = await self._in_time(self._poll(conn, report))
         finally:
             await conn.close()
 
@@ -306,12 +318,31 @@
                 sent_at = self._clock.now()
                 report = await self._in_time(conn.status())
                 on_report(self.name, report, sent_at)
+                await asyncio.sleep(seconds(_PROBE_PAUSE))
         finally:
             await conn.close()
 
     async def _in_time(self, call: Awaitable[BackendReport]) -> BackendReport:
         try:
-            async with asyncio.timeout(seconds(POLL_TIMEOUT + _POLL_GRACE)):
+            async with asyncio.timeout(
+                seconds(_REPLICA_WAIT_IDLE + _POLL_GRACE)
+            ):
                 return await call
         except TimeoutError:
             raise ConnectionLostError('a poll was not answered') from None
+
+    def _is_idle(self) -> bool:
+        return self._clock.now() - self._used_at > _IDLE_AFTER
+
+    def _pause(self, role: Role) -> int:
+        if role is Role.REPLICA:
+            return _POLL_PAUSE
+        return _PRIMARY_INTERVAL_IDLE if self._is_idle() else _PRIMARY_INTERVAL
+
+    def _poll(
+        self, conn: BackendConnection, last: BackendReport
+    ) -> Awaitable[BackendReport]:
+        if last.role is Role.PRIMARY:
+            return conn.status()
+        wait = _REPLICA_WAIT_IDLE if self._is_idle() else _REPLICA_WAIT
+        return conn.wait_change(last.received, last.applied, wait)
--- a/monsoonproxy/control.py
+++ b/monsoonproxy/control.py
@@ -72,6 +72,8 @@
         """Run the decisions until cancelled."""
         for seed in self._seeds:
             self._spawn(self._announce(seed, 0))
+        # A daemon that is alone gets no event about other hosts.
+        self._hosts_changed()
         while True:
             now = self._clock.now()
             self._membership.handle(membership.Tick(), now)
--- a/monsoonproxy/databases.py
+++ b/monsoonproxy/databases.py
@@ -1,6 +1,7 @@
 """Database adapter for the group protocol, over ``asyncmy``."""
 
 import asyncio
+import functools
 import json
 import re
 import ssl as tls
@@ -376,7 +377,6 @@
 
 def _parsed_report(row: Mapping[str, bytes | None]) -> BackendReport:
     cells = {name: (cell or b'').decode() for name, cell in row.items()}
-    starts = json.loads(cells['term_starts'])
     return BackendReport(
         name=cells['name'],
         role=Role(cells['role']),
@@ -387,10 +387,16 @@
         applied=int(cells['applied']),
         source_silence=Millis(int(cells['source_silence_ms'])),
         leaving=cells['leaving'] == '1',
-        term_starts=tuple((term, offset) for term, offset in starts),
+        term_starts=_term_starts(cells['term_starts']),
     )
 
 
+@functools.lru_cache(maxsize=64)
+def _term_starts(text: str) -> tuple[tuple[int, int], ...]:
+    """Parse the term starts, which change with the term only."""
+    return tuple((term, offset) for term, offset in json.loads(text))
+
+
 def _quoted(text: str) -> str:
     escaped = text.replace('\\', r'\\').replace("'", r'\'')
     return f"'{escaped}'"
--- a/monsoonproxy/executions.py
+++ b/monsoonproxy/executions.py
@@ -93,6 +93,9 @@
             route.reason.value,
             row_messages=sent,
             warnings=answer.warnings,
+            # A floor that was derived for this read serves the session's next
+            # reads as well.
+            position=call.floor,
         )
 
     async def write(self, call: Call, server: str) -> None:
--- a/monsoonproxy/groups.py
+++ b/monsoonproxy/groups.py
@@ -53,6 +53,7 @@
         self._task_group: asyncio.TaskGroup | None = None
         self._watchers: dict[str, tuple[asyncio.Task[None], ...]] = {}
         self._last_primary: str | None = None
+        self._silent: set[str] = set()
         #: Backend servers that get no new work.
         self.leaving: frozenset[str] = frozenset()
         #: Latest position of the primary and when it was asked for.
@@ -190,7 +191,7 @@
         """
         while self._clock.now() <= since:
             await asyncio.sleep(_CLOCK_STEP)
-        self.ask()
+        self.ask(everyone=False)
         return await self._wait(
             lambda: self._confirmed(since), deadline, ask=True
         )
@@ -234,18 +235,31 @@
                 async with asyncio.timeout(seconds(pause)):
                     await self._changed.wait()
             if ask and not condition():
-                self.ask()
+                waited = self._clock.now() - now
+                self.ask(everyone=waited >= _ASK_AGAIN)
         return True
 
-    def ask(self) -> None:
-        """Ask all backend servers for their status now."""
-        for backend in self.backends.values():
-            backend.want_probe()
+    def ask(self, *, everyone: bool = True) -> None:
+        """Ask backend servers for their status now.
+
+        :param everyone: Ask all of them, and not just enough for a majority.
+        """
+        names = sorted(self.backends, key=self._last_to_ask)
+        if not everyone:
+            names = names[: quorum.majority(len(names))]
+        for name in names:
+            self.backends[name].want_probe()
+
+    def _last_to_ask(self, name: str) -> tuple[bool, bool]:
+        """Sort the primary first, then members that were heard from lately."""
+        is_primary = name == self.view.primary
+        return not is_primary, name in self._silent
 
     def _observe(
         self, name: str, report: BackendReport, sent_at: Millis
     ) -> None:
         now = self._clock.now()
+        self._silent.discard(name)
         if report.leaving and name not in self.leaving:
             self.leaving |= {name}
             self.mark_leaving(name)
@@ -261,6 +275,7 @@
         self._notify()
 
     def _unreachable(self, name: str, refused: bool) -> None:
+        self._silent.add(name)
         self.handle(signals.Unreachable(name, refused))
         self._notify()
 
@@ -310,6 +325,11 @@
             self.handle(event)
             self._notify()
 
+    def touch(self) -> None:
+        """Note that the service is in use."""
+        for backend in self.backends.values():
+            backend.touch()
+
     def stop_lending(self) -> None:
         """Close idle connections; leased ones close on their return."""
         for backend in self.backends.values():
--- a/monsoonproxy/holders.py
+++ b/monsoonproxy/holders.py
@@ -35,6 +35,7 @@
 _SQLSTATE = 'HY000'
 #: Time in ms between two looks at deadlines and entry sides that have gone.
 _SWEEP_INTERVAL = 20
+_SWEEP_INTERVAL_IDLE = 50
 _RETRIED = (ConnectionLostError, StaleAnswerError, TermChangedError)
 _ENDS = frozenset((StatementKind.COMMIT, StatementKind.ROLLBACK))
 
@@ -80,7 +81,9 @@
         try:
             while True:
                 self._sweep()
-                await asyncio.sleep(seconds(_SWEEP_INTERVAL))
+                idle = not self._waiting
+                pause = _SWEEP_INTERVAL_IDLE if idle else _SWEEP_INTERVAL
+                await asyncio.sleep(seconds(pause))
         finally:
             for task in self._running.tasks.values():
                 task.cancel()
@@ -129,6 +132,7 @@
         now = self._clock.now()
         call = Call(next(self._numbers), sender, req, now, send)
         self._running.calls[(sender, req.request)] = call
+        self.group.touch()
         tx = self.transactions.get(call)
         if tx is not None:
             self._start(call, self.transactions.run(call, tx))
--- a/monsoonproxy/hosting.py
+++ b/monsoonproxy/hosting.py
@@ -63,6 +63,7 @@
         self._numbers = itertools.count(1)
         self._cfg = Configuration()
         self._hosts: tuple[Host, ...] = ()
+        self._placed: dict[tuple[str, int], tuple[str, ...]] = {}
 
     def holders_of(self, service: Service) -> tuple[str, ...]:
         """Return the addresses of a service's holders in rank order.
@@ -70,8 +71,13 @@
         :param service: The service.
         :returns: Addresses.
         """
-        chosen = placement.holders(service.name, self._hosts, service.holders)
-        return tuple(host.address for host in chosen)
+        key = (service.name, service.holders)
+        if key not in self._placed:
+            chosen = placement.holders(
+                service.name, self._hosts, service.holders
+            )
+            self._placed[key] = tuple(host.address for host in chosen)
+        return self._placed[key]
 
     def get(self, service: str) -> Holder | None:
         """Return the holder of a service, started if need be.
@@ -114,6 +120,7 @@
         :param hosts: The usable hosts.
         """
         self._hosts = tuple(hosts)
+        self._placed.clear()
         for name, service in self._cfg.services.items():
             addresses = self.holders_of(service)
             if self._own in addresses:
