--- /dev/null
+++ b/monsoonproxy/entry.py
@@ -0,0 +1,352 @@
+"""Entry side: sends statements to holders and gives their answers back."""
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import TypeAlias, TypeVar
+
+from msgspec.structs import replace
+
+from monsoonproxy import messages
+from monsoonproxy.attempts import Progress, Lost, OpenRequest, is_final
+from monsoonproxy.clock import Clock, Millis, seconds
+from monsoonproxy.configuration import Configuration
+from monsoonproxy.declarations import Service
+from monsoonproxy.links import Links
+from monsoonproxy.models import (
+    CONFIRMATION,
+    ENQUIRY,
+    Outcome,
+    StatementKind,
+)
+from monsoonproxy.sessions import Session
+from monsoonproxy.statements import Statement
+
+_Value = TypeVar('_Value')
+
+#: Returns the addresses of a service's holders in rank order.
+HolderLookup: TypeAlias = Callable[[Service], tuple[str, ...]]
+#: Records how a request of a service and class ended.
+OutcomeRecorder: TypeAlias = Callable[[str, str, Outcome, Millis], None]
+
+#: Time in ms that the holder gets beyond the deadline to send its refusal.
+_REPLY_GRACE = 1_000
+#: Time in ms after which a caller may come back when no holder is reachable.
+_NO_HOLDER_RETRY = 500
+#: Rounds over the holders before a request is refused.
+_MOST_ATTEMPTS = 4
+
+
+class Entry:
+    """Executes statements of caller sessions.
+
+    :param links: Connections to the other daemons and to itself.
+    :param holders_of: Finds the holders of a service.
+    :param record: Counts outcomes for metrics and reports.
+    :param clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        links: Links,
+        holders_of: HolderLookup,
+        record: OutcomeRecorder,
+        clock: Clock,
+    ) -> None:
+        self._links = links
+        self._holders_of = holders_of
+        self._record = record
+        self._clock = clock
+        self._cfg: Configuration | None = None
+        self._numbers = itertools.count(1)
+        self._open: dict[int, OpenRequest] = {}
+        self._pinned: dict[int, str] = {}
+        self._tasks: set[asyncio.Future[object]] = set()
+        self.stale_replies = 0
+
+    def configure(self, cfg: Configuration) -> None:
+        """Take a new configuration into use.
+
+        :param cfg: The configuration in force.
+        """
+        self._cfg = cfg
+
+    def known(self, service: str) -> bool:
+        """Tell whether a service is declared.
+
+        :param service: Name of the service.
+        :returns: Whether callers may use it. Everything counts as declared
+            while there is no configuration; statements are refused then.
+        """
+        return self._cfg is None or service in self._cfg.services
+
+    def open_requests(self) -> int:
+        """Return the number of requests in flight.
+
+        :returns: Requests that have no final answer yet.
+        """
+        return len(self._open)
+
+    def deliver(self, address: str, reply: messages.Message) -> None:
+        """Hand a holder's reply to the request that waits for it.
+
+        :param address: Address of the holder.
+        :param reply: Its reply.
+        """
+        number = getattr(reply, 'request', None)
+        waiting = self._open.get(number) if number is not None else None
+        if waiting is None or waiting.address != address:
+            self.stale_replies += 1
+            return
+        waiting.replies.put_nowait(reply)  # type: ignore[arg-type]
+
+    def holder_lost(self, address: str) -> None:
+        """Tell the open requests of a holder that its connection broke.
+
+        :param address: Address of the holder.
+        """
+        for waiting in self._open.values():
+            if waiting.address == address:
+                waiting.replies.put_nowait(Lost())
+
+    async def close(self, session: Session) -> None:
+        """End a session, rolling back its open transaction.
+
+        :param session: The session of a caller that has gone.
+        """
+        address = self._pinned.pop(session.number, None)
+        if address is not None:
+            await self._links.try_send(
+                address, messages.SessionEnd(session.number)
+            )
+
+    async def execute(
+        self, session: Session, statement: Statement
+    ) -> AsyncIterator[messages.Reply]:
+        """Run a statement and yield its answer.
+
+        :param session: The caller's session.
+        :param statement: The statement.
+        :yields: Header and rows if there are any, then one final reply.
+        """
+        arrived = self._clock.now()
+        service = self._service(session)
+        if service is None:
+            reason = 'no configuration is known yet'
+            yield messages.Refusal(0, reason, _NO_HOLDER_RETRY)
+            return
+        req = self._request(service, session, statement)
+        replies = self._attempts(service, req, arrived)
+        if self._needs_begin(session, statement):
+            replies = self._begin_first(service, req, arrived)
+        final: messages.Reply | None = None
+        async for reply in replies:
+            final = reply
+            yield reply
+        self._count(req, final, arrived)
+
+    def cancel(self, session: Session) -> None:
+        """Give up a session's running statement; its caller has gone.
+
+        :param session: The session.
+        """
+        for number, waiting in tuple(self._open.items()):
+            if waiting.session == session.number:
+                self._open.pop(number)
+                cancel = messages.Cancel(number)
+                self._spawn(self._links.try_send(waiting.address, cancel))
+
+    def _spawn(self, work: Awaitable[object]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _needs_begin(self, session: Session, statement: Statement) -> bool:
+        """Tell whether a statement opens a transaction without ``BEGIN``."""
+        return (
+            not session.autocommit
+            and session.number not in self._pinned
+            and statement.kind in {StatementKind.READ, StatementKind.WRITE}
+        )
+
+    async def _begin_first(
+        self,
+        service: Service,
+        req: messages.StatementRequest,
+        arrived: Millis,
+    ) -> AsyncIterator[messages.Reply]:
+        """Open a transaction, then run its first statement."""
+        begin = replace(req, sql=b'BEGIN', kind=StatementKind.BEGIN.value)
+        async for reply in self._attempts(service, begin, arrived):
+            if not isinstance(reply, messages.ResultEnd):
+                yield reply
+                return
+        async for answer in self._attempts(service, req, arrived):
+            yield answer
+
+    def _service(self, session: Session) -> Service | None:
+        if self._cfg is None:
+            return None
+        return self._cfg.services.get(session.service)
+
+    def _request(
+        self,
+        service: Service,
+        session: Session,
+        statement: Statement,
+    ) -> messages.StatementRequest:
+        marks = statement.marks
+        is_read = statement.kind is StatementKind.READ
+        request_class = marks.request_class or _DEFAULT_CLASSES[is_read]
+        repeatable = marks.repeatable
+        floor = session.floor
+        return messages.StatementRequest(
+            request=next(self._numbers),
+            session=session.number,
+            service=service.name,
+            sql=statement.sql,
+            kind=statement.kind.value,
+            request_class=request_class,
+            max_age=_either(marks.max_age, service.rule(request_class).max_age),
+            remaining=marks.deadline or service.default_deadline,
+            repeatable=_either(repeatable, is_read),
+            request_id=marks.request_id,
+            floor=(floor.term, floor.offset) if floor else None,
+        )
+
+    async def _attempts(
+        self,
+        service: Service,
+        req: messages.StatementRequest,
+        arrived: Millis,
+    ) -> AsyncIterator[messages.Reply]:
+        """Try the holders in turn while a further try does no harm."""
+        progress = Progress()
+        for attempt in range(_MOST_ATTEMPTS):
+            remaining = arrived + req.remaining - self._clock.now()
+            numbered = replace(
+                req, request=next(self._numbers), remaining=remaining
+            )
+            address = await self._send_to_holder(service, numbered, attempt)
+            if address is None:
+                break
+            async for reply in self._attempt(numbered, address, progress):
+                yield reply
+            if progress.ended:
+                break
+        if not progress.answered:
+            yield self._not_answered(req, progress)
+
+    async def _attempt(
+        self, req: messages.StatementRequest, address: str, progress: Progress
+    ) -> AsyncIterator[messages.Reply]:
+        async for reply in self._replies(req, address):
+            if isinstance(reply, Lost):
+                pinned = self._pinned.pop(req.session, None)
+                progress.note_lost(req, reply, pinned=pinned is not None)
+            else:
+                progress.started = True
+                progress.answered = progress.answered or is_final(reply)
+                yield progress.truthful(reply)
+
+    async def _send_to_holder(
+        self, service: Service, req: messages.StatementRequest, attempt: int
+    ) -> str | None:
+        """Send a request to the first holder that can be reached."""
+        if req.remaining <= 0:
+            return None
+        for address in self._addresses(service, req.session, attempt):
+            self._open[req.request] = OpenRequest(address, req.session)
+            if await self._links.try_send(address, req):
+                return address
+        self._open.pop(req.request, None)
+        return None
+
+    def _addresses(
+        self, service: Service, session: int, attempt: int
+    ) -> tuple[str, ...]:
+        """Return the holders in the order in which to try them."""
+        pinned = self._pinned.get(session)
+        if pinned:
+            return (pinned,)
+        addresses = self._holders_of(service)
+        start = attempt % max(1, len(addresses))
+        return addresses[start:] + addresses[:start]
+
+    async def _replies(
+        self, req: messages.StatementRequest, address: str
+    ) -> AsyncIterator[messages.Reply | Lost]:
+        """Yield the replies of one attempt, in order and whole."""
+        waiting = self._open[req.request]
+        limit = seconds(req.remaining + _REPLY_GRACE)
+        finished = False
+        try:
+            while not finished:
+                reply = await asyncio.wait_for(waiting.replies.get(), limit)
+                reply = waiting.check(reply)
+                finished = is_final(reply)
+                await self._note(req, address, reply)
+                yield reply
+        except asyncio.TimeoutError:
+            yield messages.Unknown(req.request, 'no answer before the deadline')
+        finally:
+            still_open = self._open.pop(req.request, None) is not None
+            if still_open and not finished:
+                await self._links.try_send(
+                    address, messages.Cancel(req.request)
+                )
+
+    async def _note(
+        self,
+        req: messages.StatementRequest,
+        address: str,
+        reply: messages.Reply | Lost,
+    ) -> None:
+        """Allow further rows; note which holder has the transaction."""
+        if isinstance(reply, messages.ResultRows):
+            credit = messages.Credit(req.request, 1)
+            await self._links.try_send(address, credit)
+        if not is_final(reply):
+            return
+        if getattr(reply, 'in_transaction', False):
+            self._pinned[req.session] = address
+        elif not isinstance(reply, Lost):
+            self._pinned.pop(req.session, None)
+
+    def _not_answered(
+        self, req: messages.StatementRequest, progress: Progress
+    ) -> messages.Reply:
+        """Say truthfully what became of a request without an answer."""
+        if progress.may_have_run:
+            return messages.Unknown(req.request, 'the holder was lost')
+        reason = 'no holder of the service can be reached'
+        if self._pinned.pop(req.session, None) is not None:
+            reason = 'the transaction was rolled back because its holder left'
+        return messages.Refusal(req.request, reason, _NO_HOLDER_RETRY)
+
+    def _count(
+        self,
+        req: messages.StatementRequest,
+        final: messages.Reply | None,
+        arrived: Millis,
+    ) -> None:
+        if final is None:
+            return
+        outcome = _OUTCOMES.get(type(final), Outcome.UNKNOWN)
+        took = Millis(self._clock.now() - arrived)
+        self._record(req.service, req.request_class, outcome, took)
+
+
+#: Class of an unmarked request, by whether it is a read.
+_DEFAULT_CLASSES = {True: ENQUIRY, False: CONFIRMATION}
+
+_OUTCOMES = {
+    messages.ResultEnd: Outcome.ANSWERED,
+    messages.Failure: Outcome.FAILED,
+    messages.Refusal: Outcome.NOT_RUN,
+    messages.Unknown: Outcome.UNKNOWN,
+}
+
+
+def _either(marked: _Value | None, default: _Value) -> _Value:
+    return default if marked is None else marked
--- /dev/null
+++ b/monsoonproxy/hosting.py
@@ -0,0 +1,238 @@
+"""The services that a daemon holds."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Coroutine, Iterable
+
+import attrs
+
+from monsoonproxy import adapters, placement, pools, signals
+from monsoonproxy.backends import Backend
+from monsoonproxy.claims import TermClaims
+from monsoonproxy.clock import Clock, seconds
+from monsoonproxy.configuration import Configuration
+from monsoonproxy.credentials import read_credentials
+from monsoonproxy.declarations import Service
+from monsoonproxy.failover import Failover
+from monsoonproxy.groups import Group
+from monsoonproxy.holders import Holder, leaving_members
+from monsoonproxy.logs import log_for
+from monsoonproxy.models import Host
+from monsoonproxy.supervisors import Supervisor
+
+_log = log_for('hosting')
+
+_DRAIN_INTERVAL = 50
+
+
+@attrs.define
+class _Held:
+    """A service with its tasks."""
+
+    holder: Holder
+    rank: int
+    tasks: tuple[str, ...]
+
+
+class Hosting:
+    """Starts and stops the holders of services.
+
+    :param own: Address of this daemon.
+    :param claims: Claims terms for this daemon.
+    :param supervisor: Runs the tasks of the holders.
+    :param clock: Source of time.
+    :param rng: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        claims: TermClaims,
+        supervisor: Supervisor,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._claims = claims
+        self._supervisor = supervisor
+        self._clock = clock
+        self._rng = rng
+        self._held: dict[str, _Held] = {}
+        self._draining: set[asyncio.Task[None]] = set()
+        self._numbers = itertools.count(1)
+        self._cfg = Configuration()
+        self._hosts: tuple[Host, ...] = ()
+        self._placed: dict[tuple[str, int], tuple[str, ...]] = {}
+
+    def holders_of(self, service: Service) -> tuple[str, ...]:
+        """Return the addresses of a service's holders in rank order.
+
+        :param service: The service.
+        :returns: Addresses.
+        """
+        key = (service.name, service.holders)
+        if key not in self._placed:
+            chosen = placement.holders(
+                service.name, self._hosts, service.holders
+            )
+            self._placed[key] = tuple(host.address for host in chosen)
+        return self._placed[key]
+
+    def get(self, service: str) -> Holder | None:
+        """Return the holder of a service, started if need be.
+
+        A request may arrive at a daemon that does not consider itself a
+        holder, since host lists differ for a while. It is served all the same.
+
+        :param service: Name of the service.
+        :returns: The holder, or ``None`` if the service is not declared.
+        """
+        held = self._held.get(service)
+        return held.holder if held else None
+
+    def all(self) -> tuple[Holder, ...]:
+        """Return the holders of all held services.
+
+        :returns: The holders.
+        """
+        return tuple(held.holder for held in self._held.values())
+
+    def configure(self, cfg: Configuration) -> None:
+        """Take a new configuration into use.
+
+        :param cfg: The configuration.
+        """
+        self._cfg = cfg
+        for name, held in tuple(self._held.items()):
+            service = cfg.services.get(name)
+            if service is None or _needs_restart(held.holder.service, service):
+                self._release(name)
+            elif service != held.holder.service:
+                self._spawn(
+                    held.holder.reconfigure(service, self._backends(service))
+                )
+        self.place(self._hosts)
+
+    def place(self, hosts: Iterable[Host]) -> None:
+        """Hold the services that belong to this daemon among some hosts.
+
+        :param hosts: The usable hosts.
+        """
+        self._hosts = tuple(hosts)
+        self._placed.clear()
+        for name, service in self._cfg.services.items():
+            addresses = self.holders_of(service)
+            if self._own in addresses:
+                self._hold(service, addresses.index(self._own))
+            elif name in self._held:
+                self._release(name)
+
+    async def stop(self) -> None:
+        """Release all services and wait until they are drained."""
+        for name in tuple(self._held):
+            self._release(name)
+        await asyncio.gather(*self._draining)
+
+    def _hold(self, service: Service, rank: int) -> None:
+        held = self._held.get(service.name)
+        if held is None:
+            self._start(service, rank)
+        elif held.rank != rank:
+            held.rank = rank
+            held.holder.group.handle(signals.RankChanged(rank))
+
+    def _start(self, service: Service, rank: int) -> None:
+        _log.info('Holding {} at rank {}', service.name, rank)
+        backends = self._backends(service)
+        rules = signals.FailoverRules(
+            silence_detection=service.silence_detection,
+            refused_detection=service.refused_detection,
+            isolation_detection=service.isolation_detection,
+            rank_delay=service.rank_delay,
+            claim_timeout=service.claim_timeout,
+        )
+        failover = Failover(
+            self._claims.candidate, tuple(backends), rank, rules, self._rng
+        )
+        group = Group(
+            service.name, backends, self._claims, failover, self._clock
+        )
+        holder = Holder(service, group, self._clock, self._rng)
+        group.on_change = holder.group_changed
+        number = next(self._numbers)
+        tasks = (f'group {number}', f'holder {number}')
+        self._held[service.name] = _Held(holder, rank, tasks)
+        self._supervisor.start_child(tasks[0], group.run)
+        self._supervisor.start_child(tasks[1], holder.run)
+        group.leaving = leaving_members(service)
+        for name in group.leaving:
+            group.mark_leaving(name)
+
+    def _backends(self, service: Service) -> dict[str, Backend]:
+        adapter = adapters.databases.get(service.database)()
+        rules = pools.PoolRules(
+            service.connection_limit, service.holders, service.slots
+        )
+        return {
+            member.name: Backend(
+                member.name,
+                member.address,
+                adapter,
+                credentials=read_credentials(service.credentials),
+                rules=rules,
+                clock=self._clock,
+            )
+            for member in service.members
+        }
+
+    def _release(self, name: str) -> None:
+        held = self._held.pop(name)
+        _log.info('Releasing {}', name)
+        self._spawn(self._drain(held))
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._draining.add(task)
+        task.add_done_callback(self._draining.discard)
+
+    async def _drain(self, held: _Held) -> None:
+        """Let a holder finish what it has, then stop its tasks."""
+        holder = held.holder
+        await holder.hand_over()
+        deadline = self._clock.now() + holder.service.drain_timeout
+        while holder.open_requests() and self._clock.now() < deadline:
+            await asyncio.sleep(seconds(_DRAIN_INTERVAL))
+        for task in reversed(held.tasks):
+            await self._supervisor.stop_child(task)
+        await holder.group.close()
+
+
+#: Fields of a service that a running holder takes over.
+_LIVE_FIELDS = frozenset(
+    (
+        'members',
+        'classes',
+        'queue_limit',
+        'default_deadline',
+        'drain_timeout',
+        'retry_budget',
+    )
+)
+
+
+def _needs_restart(old: Service, new: Service) -> bool:
+    """Tell whether a change needs new connections or a new failover."""
+    return any(
+        getattr(old, field.name) != getattr(new, field.name)
+        for field in attrs.fields(Service)
+        if field.name not in _LIVE_FIELDS
+    ) or _addresses_changed(old, new)
+
+
+def _addresses_changed(old: Service, new: Service) -> bool:
+    known = {member.name: member.address for member in old.members}
+    return any(
+        known.get(member.name, member.address) != member.address
+        for member in new.members
+    )
