Use one key file for tokens and daemons in monsoonctl

Cause: monsoonctl wrote its own format of token keys and asked daemons in clear. Ruled out: two files; a rotation has to change both kinds of keys on all hosts anyway. Conclusion: monsoonctl keys new, rotate and show work on the file that daemons read; status, drain and report use its CURVE keys (--key-file).

--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -22,7 +22,7 @@
 from asyncmy.errors import MySQLError, OperationalError
 
 from emulator.cluster import Cluster, Process, Site, running
-from monsoonproxy import control_client
+from monsoonproxy import inquiries
 
 SERVICE = 'hire-ledger-1'
 _CALLERS = 6
@@ -245,7 +245,7 @@
 
 async def _versions(cluster: Cluster) -> list[int]:
     statuses = [
-        await control_client.ask(daemon.control, keys=cluster.keys.peers)
+        await inquiries.ask(daemon.control, keys=cluster.keys.peers)
         for daemon in cluster.daemons
     ]
     return [status['configuration_version'] for status in statuses]
--- a/emulator/spread_network.py
+++ b/emulator/spread_network.py
@@ -106,6 +106,8 @@
         self.daemons: dict[str, Any] = {}
         self.started: dict[str, int] = {}
         self.hosts = make_hosts(scenario)
+        #: Daemons that only reach each other.
+        self.isolated: set[str] = set()
         self._maker = maker
         self._rules = rules
         self._queue: list[_Action] = []
@@ -242,13 +244,25 @@
     def _send(self, sender: str, peer: str, event: Any, size: int) -> None:
         self.counters.messages += 1
         self.counters.payload += size + OVERHEAD
-        is_far = self._regions[sender] != self._regions[peer]
-        if is_far and self._is_cut():
-            return
-        if self.rng.random() >= self.scenario.loss:
-            latency = FAR_LATENCY if is_far else NEAR_LATENCY
+        latency = self.transmit(sender, peer)
+        if latency is not None:
             self.at(self.now + latency, lambda: self.deliver(peer, event))
 
+    def transmit(self, sender: str, peer: str) -> int | None:
+        """Decide about a message.
+
+        :param sender: Address of the sender.
+        :param peer: Address of the receiver.
+        :returns: Its latency in ms, or ``None`` if it is lost.
+        """
+        is_far = self._regions[sender] != self._regions[peer]
+        is_isolated = (sender in self.isolated) != (peer in self.isolated)
+        if is_isolated or (is_far and self._is_cut()):
+            return None
+        if self.rng.random() < self.scenario.loss:
+            return None
+        return FAR_LATENCY if is_far else NEAR_LATENCY
+
     def _is_cut(self) -> bool:
         start, end = self.scenario.cut
         return start <= self.now < end
@@ -263,8 +277,10 @@
         )
         self._store_free = max(self._store_free, self.now) + 1000 / STORE_RATE
         wait = int(self._store_free - self.now)
-        reachable = self._regions[address] in self.scenario.store_regions
-        if wait > STORE_TIMEOUT or (self._is_cut() and not reachable):
+        is_cut = address in self.isolated
+        if self._regions[address] not in self.scenario.store_regions:
+            is_cut = is_cut or self._is_cut()
+        if wait > STORE_TIMEOUT or is_cut:
             counters.reads_failed += 1
             moment = self.now + STORE_TIMEOUT
             self.at(moment, lambda: self.deliver(address, spread.StoreFailed()))
--- a/monsoonproxy/actions.py
+++ b/monsoonproxy/actions.py
@@ -3,7 +3,7 @@
 import asyncio
 import importlib
 import pathlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from datetime import UTC, datetime
 from typing import Any, TypeAlias
 
@@ -17,6 +17,8 @@
 
 #: How many daemons are told of a new version; they tell the others.
 _NOTIFIED = 3
+#: Time in ms for which rotated keys are still accepted.
+_KEY_OVERLAP = 24 * 3600 * 1000
 
 
 @attrs.frozen
@@ -141,9 +143,9 @@
     :raises ConfigurationError: If there is no such version.
     """
     if version is None:
-        found: configuration.Configuration | None = await operations.read_current(
-            platform
-        )
+        found: (
+            configuration.Configuration | None
+        ) = await operations.read_current(platform)
     else:
         found = await operations.read_version(platform, version)
     if found is None:
@@ -297,18 +299,18 @@
     if pathlib.Path(file).exists():
         raise ConfigurationError(f"{file} exists; use 'keys rotate'")
     made = keys.create(Clock().wall())
-    keys.save_keys(file, made)
+    keys.save(file, made)
     return _keys_answer(made)
 
 
 def keys_rotate(file: str) -> Answer:
-    """Let the next key of a file sign.
+    """Add new keys to a file; the old ones are accepted for a day.
 
     :param file: The file.
     :returns: The answer.
     """
-    made = keys.rotate(keys.load_keys(file), Clock().wall())
-    keys.save_keys(file, made)
+    made = keys.rotate(keys.load(file), Clock().wall(), _KEY_OVERLAP)
+    keys.save(file, made)
     return _keys_answer(made)
 
 
@@ -318,12 +320,20 @@
     :param file: The file.
     :returns: The answer.
     """
-    return _keys_answer(keys.load_keys(file))
+    return _keys_answer(keys.load(file))
 
 
-def _keys_answer(found: Iterable[keys.Key]) -> Answer:
+def _keys_answer(ring: keys.KeyRing) -> Answer:
     rows = [
-        {'id': key.identity, 'state': key.state, 'created': key.created}
-        for key in found
+        {
+            'use': 'tokens',
+            'id': key.key_id,
+            'active_from': key.active_from,
+            'expires': key.expires,
+        }
+        for key in ring.tokens
     ]
-    return Answer([f'{row["id"]} {row["state"]}' for row in rows], rows)
+    rows += [
+        {'use': 'peers', 'id': pair.public.decode()} for pair in ring.peers
+    ]
+    return Answer([f'{row["use"]} {row["id"]}' for row in rows], rows)
--- a/monsoonproxy/cli.py
+++ b/monsoonproxy/cli.py
@@ -11,14 +11,14 @@
 import attrs
 import cappa
 
-from monsoonproxy import actions
-from monsoonproxy.operations import Platform
+from monsoonproxy import actions, inquiries
 from monsoonproxy.exceptions import (
     ConflictError,
     MonsoonError,
     PeerError,
     PlatformError,
 )
+from monsoonproxy.operations import Platform
 from monsoonproxy.sources import SourceError
 
 _CODES_HELP = (
@@ -27,6 +27,7 @@
     " daemon can't be reached."
 )
 _ENVIRONMENT = 'MONSOONPROXY_PLATFORM'
+_KEY_FILE = 'MONSOONPROXY_KEY_FILE'
 
 Opener: TypeAlias = Callable[[str, str], Platform]
 _ExitCode: TypeAlias = tuple[type[MonsoonError], int]
@@ -210,8 +211,8 @@
 
 @cappa.command(
     name='new',
-    help='Make a key file for session tokens.',
-    description=_example('keys new /etc/monsoonproxy/token-keys.json'),
+    help='Make the key file of a site.',
+    description=_example('keys new /etc/monsoonproxy/keys.toml'),
 )
 @attrs.frozen
 class KeysNew:
@@ -226,8 +227,8 @@
 
 @cappa.command(
     name='rotate',
-    help='Let the next key of a file sign.',
-    description=_example('keys rotate /etc/monsoonproxy/token-keys.json'),
+    help='Add new keys to a file and limit the life of the old ones.',
+    description=_example('keys rotate /etc/monsoonproxy/keys.toml'),
 )
 @attrs.frozen
 class KeysRotate:
@@ -243,7 +244,7 @@
 @cappa.command(
     name='show',
     help='List the keys of a file without their secrets.',
-    description=_example('keys show /etc/monsoonproxy/token-keys.json'),
+    description=_example('keys show /etc/monsoonproxy/keys.toml'),
 )
 @attrs.frozen
 class KeysShow:
@@ -264,7 +265,7 @@
     command: cappa.Subcommands[ReportBurn]
 
 
-@cappa.command(help='Key files for session tokens.')
+@cappa.command(help='Key files for session tokens and daemons.')
 @attrs.frozen
 class Keys:
     """Arguments of ``keys``."""
@@ -275,7 +276,7 @@
 @cappa.command(name='monsoonctl', description=_CODES_HELP)
 @attrs.frozen
 class Monsoonctl:
-    """Arguments of all operations."""
+    """Arguments of all commands."""
 
     command: cappa.Subcommands[
         Check | Diff | Apply | Show | History | Status | Drain | Report | Keys
@@ -298,6 +299,15 @@
             long=True, propagate=True, help='Name of the platform adapter.'
         ),
     ] = 'http'
+    key_file: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            propagate=True,
+            default=cappa.Env(_KEY_FILE, default=''),
+            help=f"The site's key file (or {_KEY_FILE}).",
+        ),
+    ] = ''
 
 
 def open_platform(name: str, url: str) -> Platform:
@@ -336,6 +346,7 @@
     command: Any = arguments.command
     command = getattr(command, 'command', command)
     try:
+        inquiries.use_keys(arguments.key_file)
         return await command.run(platform)
     except MonsoonError as exc:
         return _failure(exc)
--- a/monsoonproxy/daemon.py
+++ b/monsoonproxy/daemon.py
@@ -168,6 +168,8 @@
         """Answer an operator's request."""
         if topic == 'drain':
             self._stopping.set()
+        if topic == 'burn':
+            return json.dumps(self.metrics.counters()).encode()
         return json.dumps(self.status(), default=str).encode()
 
     def status(self) -> dict[str, Any]:
@@ -185,7 +187,6 @@
             'open_requests': self.entry.open_requests(),
             'stale_replies': self.entry.stale_replies,
             'store_reads': self.control.store_reads,
-            'outcomes': self.metrics.counters(),
             'services': [holder.status() for holder in self.hosting.all()],
         }
 
--- a/monsoonproxy/keys.py
+++ b/monsoonproxy/keys.py
@@ -5,8 +5,10 @@
 and those that are still accepted.
 """
 
+import os
 import pathlib
 import secrets
+import tempfile
 import tomllib
 from collections.abc import Mapping
 from typing import Any
@@ -114,6 +116,26 @@
         raise SettingsError(f'{path}: a key is not valid: {bad!r}') from None
 
 
+def save(path: str, ring: KeyRing) -> None:
+    """Write a key file, readable by its owner only.
+
+    :param path: The file; it is replaced as a whole.
+    :param ring: The keys.
+    :raises SettingsError: If it can't be written.
+    """
+    target = pathlib.Path(path)
+    try:
+        # The temporary file has mode 0600 from the start.
+        descriptor, name = tempfile.mkstemp(dir=target.parent)
+        with os.fdopen(descriptor, 'w', encoding='utf-8') as file:
+            file.write(ring.to_toml())
+            file.flush()
+            os.fsync(file.fileno())
+        pathlib.Path(name).replace(target)
+    except OSError as exc:
+        raise SettingsError(f'{path}: {exc.strerror}') from exc
+
+
 def _token_key(active_from: Millis) -> Key:
     return Key(
         secrets.token_hex(_NAME_BYTES),
--- a/monsoonproxy/metrics.py
+++ b/monsoonproxy/metrics.py
@@ -77,7 +77,7 @@
             {
                 'minute': minute,
                 'service': service,
-                'class': request_class,
+                'request_class': request_class,
                 'outcome': outcome,
                 'count': count,
             }
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,31 +1,28 @@
 """Tests of ``monsoonctl``, against a platform in memory."""
 
 import asyncio
-import contextlib
 import functools
-import io
 import json
 import pathlib
 import random
 import stat
 import tempfile
 
-import attrs
 import zmq
 from hypothesis import given
 from hypothesis import strategies as st
 from zmq import asyncio as zmq_asyncio
 
-from monsoonproxy import cli, commands, inquiries, messages
-from monsoonproxy.configuration import Change, Configuration, read_header
+from monsoonproxy import inquiries, keys, messages, operations
+from monsoonproxy.configuration import Change, Configuration
 from monsoonproxy.declarations import PlatformRules
 from monsoonproxy.exceptions import (
     ConflictError,
     PlatformError,
-    PreconditionError,
 )
 from monsoonproxy.models import Host
 from tests.fixtures import fixture, load_functions
+from tests.memory_platform import MemoryPlatform, Stored, Tool
 from tests.test_configuration import BASE, HASH
 
 load_tests = load_functions(__name__)
@@ -33,115 +30,14 @@
 #: A loaded machine must not fail a test.
 TIMEOUT = 60_000
 inquiries.TIMEOUT = TIMEOUT
-commands.READ_BACK_WAITS = (0, 0, 0)
-
-
-@attrs.define
-class Stored:
-    """A value with its etag."""
-
-    etag: str
-    body: bytes
-
-
-class MemoryPlatform:
-    """Table service, object store and host list in memory.
-
-    ``faults`` holds what happens to the next writes: ``lost`` (it takes effect
-    but the answer is lost), ``late`` (it fails and takes effect only later) or
-    ``failed``. ``before_write`` runs before each write.
-    """
-
-    def __init__(self) -> None:
-        self.table: dict[str, Stored] = {}
-        self.objects: dict[str, bytes] = {}
-        self.host_list: tuple[Host, ...] = ()
-        self.faults: list[str] = []
-        self.down = False
-        self.writes = 0
-        self.before_write = list
-        self.pause = int
-
-    async def read(self, key: str) -> Stored | None:
-        await self._turn()
-        return self.table.get(key)
-
-    async def write(self, key: str, body: bytes, etag: str | None) -> str:
-        await self._turn()
-        self.writes += 1
-        self.before_write()
-        fault = self.faults.pop(0) if self.faults else ''
-        if fault in {'failed', 'late'}:
-            raise PlatformError('no answer')
-        stored = self.table.get(key)
-        if etag != (stored and stored.etag):
-            raise PreconditionError('etag differs')
-        self.table[key] = Stored(f'e{self.writes}', body)
-        await self._turn()
-        if fault == 'lost':
-            raise PlatformError('no answer')
-        return self.table[key].etag
-
-    async def put_object(self, key: str, body: bytes) -> None:
-        await self._turn()
-        self.objects[key] = body
-
-    async def get_object(self, key: str) -> bytes | None:
-        await self._turn()
-        return self.objects.get(key)
-
-    async def hosts(self) -> tuple[Host, ...]:
-        await self._turn()
-        return self.host_list
-
-    async def _turn(self) -> None:
-        for _ in range(self.pause()):
-            await asyncio.sleep(0)
-        if self.down:
-            raise PlatformError('connection refused')
-
-
-class Tool:
-    """Runs the tool with files in a folder."""
-
-    def __init__(self, folder: pathlib.Path) -> None:
-        self.folder = folder
-        self.platform = MemoryPlatform()
-        self.write_file(BASE)
-
-    def write_file(self, text: str) -> None:
-        (self.folder / 'base.toml').write_text(text)
-
-    def path(self, name: str) -> str:
-        return str(self.folder / name)
-
-    async def run(self, *argv: str) -> tuple[int, str]:
-        """Return exit code and output."""
-        output = io.StringIO()
-        names = [self.path(item) if '.' in item else item for item in argv]
-        with (
-            contextlib.redirect_stdout(output),
-            contextlib.redirect_stderr(output),
-        ):
-            code = await asyncio.to_thread(self._run, names)
-        return code, output.getvalue()
-
-    def _run(self, argv: list[str]) -> int:
-        try:
-            return cli.run(argv, lambda _name, _url: self.platform)
-        except SystemExit as exc:
-            return exc.code
-
-    def version(self) -> int:
-        stored = self.platform.table.get('configuration')
-        return read_header(stored.body).version if stored else 0
+operations.READ_BACK_WAITS = (0, 0, 0)
 
 
 @fixture
 def tool():
     """Provide the tool."""
     with tempfile.TemporaryDirectory() as name:
-        yield Tool(pathlib.Path(name))
+        yield Tool(pathlib.Path(name), BASE)
 
 
 async def test_apply(tool) -> None:
@@ -251,7 +147,7 @@
         platform.write = write
         await write(key, body, etag)
         found = Configuration(platform=PlatformRules(hosts_interval=9000))
-        await commands.apply(platform, found, Change(operator='bob'))
+        await operations.apply(platform, found, Change(operator='bob'))
         raise PlatformError('no answer')
 
     platform.write = write_twice
@@ -285,23 +181,23 @@
 
 async def test_keys(tool) -> None:
     """Guards against lost keys, shown secrets and readable key files."""
-    file = pathlib.Path(tool.path('keys.json'))
-    assert (await tool.run('keys', 'new', 'keys.json'))[0] == 0
+    file = pathlib.Path(tool.path('keys.toml'))
+    assert (await tool.run('keys', 'new', 'keys.toml'))[0] == 0
     assert stat.S_IMODE(file.stat().st_mode) == 0o600
-    first = {key['identity']: key for key in json.loads(file.read_text())}
-    assert (await tool.run('keys', 'new', 'keys.json'))[0] == 1
-    await tool.run('keys', 'rotate', 'keys.json')
-    second = {key['identity']: key for key in json.loads(file.read_text())}
-    states = sorted(key['state'] for key in second.values())
-    assert states == ['active', 'next', 'previous']
-    for identity, key in first.items():
-        wanted = {'next': 'active', 'active': 'previous'}[key['state']]
-        assert second[identity]['state'] == wanted
-    code, text = await tool.run('keys', 'show', 'keys.json', '--json')
-    assert len(json.loads(text)) == 3
-    assert all(key['secret'] not in text for key in second.values())
-    file.write_text('[{"secret": "hunter2"}]')
-    code, text = await tool.run('keys', 'show', 'keys.json')
+    first = keys.load(str(file))
+    assert (await tool.run('keys', 'new', 'keys.toml'))[0] == 1
+    await tool.run('keys', 'rotate', 'keys.toml')
+    second = keys.load(str(file))
+    # The old key stays, with an end; the new one signs a little later.
+    assert second.tokens[1].key_id == first.tokens[0].key_id
+    assert second.tokens[1].expires > second.tokens[0].active_from
+    assert second.peers[1:] == first.peers
+    code, text = await tool.run('keys', 'show', 'keys.toml', '--json')
+    assert len(json.loads(text)) == 4
+    assert all(key.secret.hex() not in text for key in second.tokens)
+    assert all(pair.secret.decode() not in text for pair in second.peers)
+    file.write_text('[[tokens]]\nsecret = "hunter2"')
+    code, text = await tool.run('keys', 'show', 'keys.toml')
     assert code == 1
     assert 'hunter2' not in text
 
@@ -359,8 +255,13 @@
     base = str(tool.folder / 'base.toml')
     assert (await tool.run('apply', base))[0] == 0
     async with asyncio.timeout(60):
-        while await seen.get() != messages.Announce(1):
-            continue
+        await _wait_for(seen, messages.Announce(1))
+
+
+async def _wait_for(seen, wanted) -> None:
+    found = None
+    while found != wanted:
+        found = await seen.get()
 
 
 async def test_unreachable_daemon(tool) -> None:
@@ -392,12 +293,12 @@
     wanted = Configuration(platform=PlatformRules(hosts_interval=9000))
     found = await asyncio.gather(
         *(
-            commands.apply(platform, wanted, Change(operator=name), 0)
+            operations.apply(platform, wanted, Change(operator=name), 0)
             for name in ('ann', 'bob')
         ),
         return_exceptions=True,
     )
-    applied = [item for item in found if isinstance(item, commands.Applied)]
+    applied = [item for item in found if isinstance(item, operations.Applied)]
     refused = [item for item in found if isinstance(item, ConflictError)]
     assert (len(applied), len(refused)) == (1, 1)
     assert applied[0].version == 1
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from emulator import experiment_confirmation
 from emulator.experiment_spread import measure
 from emulator.spread_network import Scenario, document
 from monsoonproxy.clock import Millis
@@ -222,3 +223,20 @@
         assert row['everywhere_max_ms'] <= 5000
         assert row['bytes_per_daemon_per_second'] <= 12_000
         assert row['store_reads_per_second'] <= 10
+
+
+def test_confirmation() -> None:
+    """Guards against a comparison that overlooks false confirmations.
+
+    Representatives can't know of daemons that are cut off with a few others.
+    """
+    scenario = Scenario(daemons=40, changes=3)
+    rows = {
+        scheme: experiment_confirmation.measure(scenario, scheme, 3)
+        for scheme in ('all', 'representatives')
+    }
+    assert rows['all']['false_confirmations'] == 0
+    assert rows['all']['confirmed_max_ms'] > 20_000
+    cheap = rows['representatives']
+    assert cheap['messages_per_change'] < rows['all']['messages_per_change']
+    assert cheap['false_confirmations'] > 0
