--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -19,7 +19,8 @@
 _CONNECT_TIMEOUT = 2
 _NOT_RUN = 4100
 _UNKNOWN = 4101
-_LOST = 2013
+#: Code of a lost connection.
+LOST = 2013
 #: Codes that the client library raises itself.
 _LIBRARY_CODES = range(2000, 3000)
 _RETRY_AFTER = re.compile(r'come back after (\d+) ms')
@@ -99,11 +100,11 @@
         self._conn.close()
 
     def _converted(self, exc: Exception) -> RequestError:
-        code = exc.args[0] if exc.args else _LOST
+        code = exc.args[0] if exc.args else LOST
         is_answer = isinstance(exc, errors.MySQLError) and isinstance(code, int)
         if not is_answer or code in _LIBRARY_CODES:
             self.close()
-            return RequestError(Outcome.UNKNOWN, _LOST, str(exc), alive=False)
+            return RequestError(Outcome.UNKNOWN, LOST, str(exc), alive=False)
         outcomes = {_NOT_RUN: Outcome.NOT_RUN, _UNKNOWN: Outcome.UNKNOWN}
         outcome = outcomes.get(code, Outcome.FAILED)
         return RequestError(outcome, code, str(exc))
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -2,17 +2,15 @@
 
 import asyncio
 import signal
+import time
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 import attrs
 
-from emulator.callers import now
-from emulator.cluster import Cluster, Process
-from monsoonproxy import placement
+from emulator.cluster import Process
+from emulator.scenes import Scene
 from monsoonproxy.configuration import Configuration
 from monsoonproxy.exceptions import PreconditionError
-from monsoonproxy.models import Host
 from monsoonproxy.platforms import HttpPlatform
 from monsoonproxy.registries import Registry
 
@@ -22,92 +20,6 @@
 _CONFIGURATION = 'configuration'
 
 
-@attrs.define
-class Scene:
-    """A site with load, as a fault acts on it.
-
-    :param cluster: The site.
-    :param service: The service under load.
-    :param hold: Time in s for which a fault lasts.
-    :param injected: Time in ms of the fault's main event.
-    :param notes: What was done, with times in ms.
-    """
-
-    cluster: Cluster
-    service: str
-    hold: float
-    injected: int = 0
-    notes: list[tuple[int, str]] = attrs.Factory(list)
-
-    @property
-    def members(self) -> dict[str, Process]:
-        """Return the backend servers of the service.
-
-        :returns: They, by name.
-        """
-        return self.cluster.databases[self.service]
-
-    def note(self, text: str, *, main: bool = True) -> None:
-        """Note that something is being done now.
-
-        :param text: What.
-        :param main: Whether the failover is measured from here.
-        """
-        moment = now()
-        self.notes.append((moment, text))
-        if main and not self.injected:
-            self.injected = moment
-
-    async def primary(self) -> Process:
-        """Find the primary.
-
-        :returns: The primary of the highest term.
-        :raises RuntimeError: If there is none.
-        """
-        found = await self.cluster.primary(self.service)
-        if found is None:
-            raise RuntimeError('the group has no primary')
-        return found
-
-    async def replicas(self) -> list[Process]:
-        """Find the replicas.
-
-        :returns: All other members.
-        """
-        primary = await self.primary()
-        return [each for each in self.members.values() if each is not primary]
-
-    def holder(self) -> Process:
-        """Find the daemon at rank 0 of the service.
-
-        :returns: The daemon.
-        """
-        daemons = {daemon.control: daemon for daemon in self.cluster.daemons}
-        zones = self.cluster.site.zones
-        hosts = [
-            Host(address, zones[number % len(zones)])
-            for number, address in enumerate(daemons)
-        ]
-        first = placement.holders(self.service, hosts, 1)[0]
-        return daemons[first.address]
-
-    async def switch(self, database: Process, **changes: Any) -> None:
-        """Change switches of a backend server.
-
-        :param database: The backend server.
-        :param changes: New values.
-        """
-        await self.cluster.switch(database.control, changes)
-
-    async def store(self, **changes: Any) -> None:
-        """Change switches of the platform.
-
-        :param changes: New values.
-        """
-        address = self.cluster.platform.address
-        await self.cluster.switch(address, changes, '/control/switches')
-
-
 Fault = Callable[[Scene], Awaitable[None]]
 faults: Registry[Fault] = Registry('fault')
 
@@ -269,6 +181,7 @@
             *(_apply(scene, f'default_deadline = {each}') for each in deadlines)
         )
         scene.note(f'round {number}: accepted {accepted}')
+        scene.accepted.append(accepted)
         await asyncio.sleep(scene.hold / 5)
 
 
@@ -318,8 +231,10 @@
     """Let a replica report that it is leaving."""
     replica = (await scene.replicas())[0]
     scene.note(f'{replica.name} leaves')
+    begun = _unix_time()
     await scene.switch(replica, leaving=True)
     await asyncio.sleep(scene.hold)
+    scene.left = (replica.name, begun, _unix_time())
     await scene.switch(replica, leaving=False)
 
 
@@ -334,23 +249,5 @@
     await daemon.start()
 
 
-async def heal(scene: Scene) -> None:
-    """End all faults and start all processes that have ended.
-
-    :param scene: The site.
-    """
-    for process in (*scene.members.values(), *scene.cluster.daemons):
-        process.send_signal(signal.SIGCONT)
-        if process.ended:
-            await process.start()
-    for database in scene.members.values():
-        await scene.cluster.reach(database)
-        await scene.switch(
-            database,
-            cut=[],
-            frozen=False,
-            leaving=False,
-            receive_lag_ms=0,
-            apply_lag_ms=0,
-        )
-    await scene.store(down=False, lose_answers=0, hosts_late_ms=0)
+def _unix_time() -> int:
+    return time.time_ns() // 1_000_000
