--- /dev/null
+++ b/monsoonproxy/marks.py
@@ -0,0 +1,130 @@
+"""Marks of requests, from comments and query attributes."""
+
+import re
+import urllib.parse
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import attrs
+
+from monsoonproxy.exceptions import MarksError
+from monsoonproxy.models import Marks
+
+#: Largest age of data that may be asked for, in ms.
+MAX_AGE = 3_600_000
+#: Longest deadline in ms. A shutdown lasts at most 30,000 ms, of which the
+#: last 5,000 are for transactions; every request has to end before that.
+MAX_DEADLINE = 25_000
+_NUMBER = re.compile('[0-9]{1,9}')
+_REQUEST_ID = re.compile('[!-~]{1,128}')
+_CLASS = re.compile('[A-Za-z][A-Za-z0-9_-]{0,31}')
+_TOKEN = re.compile('[A-Za-z0-9_=-]{1,512}')
+#: Longer comments are not read; all marks together are shorter.
+_MAX_COMMENT = 4096
+_FLAGS: dict[str, bool] = {'true': True, 'false': False}
+
+_PAIR = re.compile(rb"\s*([^=,'\s]+)\s*=\s*'((?:[^'\\]|\\.)*)'\s*(?:,|$)", re.S)
+_BARE = re.compile(
+    rb'(?:^|,)\s*(max_age_ms|deadline_ms|repeatable|request_id)\s*='
+)
+
+
+def _number(least: int, greatest: int) -> Callable[[str], int]:
+    def read(text: str) -> int:
+        if not _NUMBER.fullmatch(text):
+            raise ValueError('not a whole number')
+        number = int(text)
+        if not least <= number <= greatest:
+            raise ValueError(f'not within {least} and {greatest}')
+        return number
+
+    return read
+
+
+def _matching(pattern: re.Pattern[str]) -> Callable[[str], str]:
+    def read(text: str) -> str:
+        if not pattern.fullmatch(text):
+            raise ValueError('too long, empty or has characters not allowed')
+        return text
+
+    return read
+
+
+def _flag(text: str) -> bool:
+    if text not in _FLAGS:
+        raise ValueError('neither true nor false')
+    return _FLAGS[text]
+
+
+#: The field of :class:`Marks` and the reader of each key.
+KEYS: dict[str, tuple[str, Callable[[str], Any]]] = {
+    'max_age_ms': ('max_age', _number(0, MAX_AGE)),
+    'deadline_ms': ('deadline', _number(1, MAX_DEADLINE)),
+    'repeatable': ('repeatable', _flag),
+    'request_id': ('request_id', _matching(_REQUEST_ID)),
+    'class': ('request_class', _matching(_CLASS)),
+    'token': ('token', _matching(_TOKEN)),
+}
+_NONE = Marks()
+
+
+def parse(sql: bytes, attributes: Mapping[str, bytes | None] | None) -> Marks:
+    """Read the marks of a request.
+
+    A query attribute takes precedence over the comment.
+
+    :param sql: The statement, which may end with a sqlcommenter comment.
+    :param attributes: The query attributes; unknown ones are ignored.
+    :returns: The marks.
+    """
+    found = _comment(sql)
+    for key, text in (attributes or {}).items():
+        if key in KEYS and text is not None:
+            found[key] = text
+    if not found:
+        return _NONE
+    return attrs.evolve(_NONE, **dict(map(_read, found, found.values())))
+
+
+def read_one(key: str, text: str) -> tuple[str, Any]:
+    """Read one mark.
+
+    :param key: Its key, one of :data:`KEYS`.
+    :param text: Its text.
+    :returns: The field of :class:`Marks` and the value.
+    :raises MarksError: If the text is not valid.
+    """
+    field, reader = KEYS[key]
+    try:
+        return field, reader(text)
+    except ValueError as exc:
+        raise MarksError(f'mark {key}: {text[:64]!r} is {exc}') from None
+
+
+def _read(key: str, text: bytes) -> tuple[str, Any]:
+    return read_one(key, text.decode(errors='replace'))
+
+
+def _comment(sql: bytes) -> dict[str, bytes]:
+    text = sql.rstrip(b'; \t\r\n')
+    if not text.endswith(b'*/'):
+        return {}
+    start = text.rfind(b'/*')
+    body = text[start + 2 : -2].strip() if start >= 0 else b''
+    if len(body) > _MAX_COMMENT:
+        return {}
+    found = {}
+    end = 0
+    while match := _PAIR.match(body, end):
+        end = match.end()
+        key = urllib.parse.unquote_to_bytes(match[1]).decode(errors='replace')
+        if key in KEYS:
+            found[key] = urllib.parse.unquote_to_bytes(_unescape(match[2]))
+    malformed = _BARE.search(body[end:])
+    if malformed is not None:
+        raise MarksError(f'mark {malformed[1].decode()}: not a quoted value')
+    return found
+
+
+def _unescape(text: bytes) -> bytes:
+    return text.replace(b"\\'", b"'")
--- a/monsoonproxy/tokens.py
+++ b/monsoonproxy/tokens.py
@@ -1,12 +1,37 @@
 """Signed session tokens."""
 
+import base64
+import binascii
+import hashlib
+import hmac
+import struct
 from collections.abc import Sequence
 
 import attrs
 
 from monsoonproxy.clock import Millis
+from monsoonproxy.exceptions import TokenError
 from monsoonproxy.models import Position
 
+#: Longest token that is looked at.
+MAX_LENGTH = 512
+_VERSION = 1
+_HEAD = struct.Struct('>BQQB')
+#: Half of a SHA-256 digest; 128 bits are the usual strength of a tag.
+_TAG = 16
+_MIN_SECRET = 16
+_MAX_NAME = 64
+
+
+def _short_name(_key: 'Key', _field: object, name: str) -> None:
+    if not 0 < len(name.encode()) <= _MAX_NAME:
+        raise TokenError(f'a key id has 1 to {_MAX_NAME} bytes')
+
+
+def _long_secret(_key: 'Key', _field: object, secret: bytes) -> None:
+    if len(secret) < _MIN_SECRET:
+        raise TokenError(f'a secret has at least {_MIN_SECRET} bytes')
+
 
 @attrs.frozen
 class Key:
@@ -19,11 +44,27 @@
     :param expires: Wall-clock time from which its tokens are refused.
     """
 
-    key_id: str
-    secret: bytes = attrs.field(repr=False)
+    key_id: str = attrs.field(validator=_short_name)
+    secret: bytes = attrs.field(repr=False, validator=_long_secret)
     active_from: Millis = Millis(0)
     expires: Millis | None = None
 
+    def expired(self, now: Millis) -> bool:
+        """Tell whether tokens of this key are refused.
+
+        :param now: The wall-clock time.
+        :returns: Whether the key has expired.
+        """
+        return self.expires is not None and now >= self.expires
+
+    def tag(self, body: bytes) -> bytes:
+        """Compute the tag of a token's body.
+
+        :param body: The body.
+        :returns: The tag.
+        """
+        return hmac.digest(self.secret, body, hashlib.sha256)[:_TAG]
+
 
 @attrs.define
 class Signer:
@@ -37,12 +78,31 @@
     def sign(self, service: str, position: Position, now: Millis) -> str:
         """Make a token.
 
+        The newest active key signs.
+
         :param service: The service that the position belongs to.
         :param position: The floor of the session.
         :param now: The wall-clock time.
         :returns: The token.
+        :raises TokenError: If no key is active.
         """
-        raise NotImplementedError
+        active = [
+            key
+            for key in self.keys
+            if key.active_from <= now and not key.expired(now)
+        ]
+        if not active:
+            raise TokenError('no key is active')
+        key = max(active, key=_start)
+        name = key.key_id.encode()
+        body = b''.join(
+            (
+                _HEAD.pack(_VERSION, position.term, position.offset, len(name)),
+                name,
+                service.encode(),
+            )
+        )
+        return base64.urlsafe_b64encode(body + key.tag(body)).decode()
 
     def check(self, token: str, service: str, now: Millis) -> Position:
         """Check a token.
@@ -51,5 +111,43 @@
         :param service: The service of the caller's session.
         :param now: The wall-clock time.
         :returns: The floor that the token carries.
+        :raises TokenError: If the token is malformed, forged, expired or
+            belongs to another service.
         """
-        raise NotImplementedError
+        body, tag = _split(token)
+        _version, term, offset, size = _HEAD.unpack_from(body)
+        name = body[_HEAD.size : _HEAD.size + size]
+        key = self._find(name)
+        if not hmac.compare_digest(key.tag(body), tag):
+            raise TokenError('the token is not signed with a known key')
+        if key.expired(now):
+            raise TokenError('the token has expired')
+        if body[_HEAD.size + size :] != service.encode():
+            raise TokenError('the token belongs to another service')
+        return Position(term, offset)
+
+    def _find(self, name: bytes) -> Key:
+        for key in self.keys:
+            if key.key_id.encode() == name:
+                return key
+        raise TokenError('the token is not signed with a known key')
+
+
+def _start(key: Key) -> int:
+    return key.active_from
+
+
+def _split(token: str) -> tuple[bytes, bytes]:
+    if len(token) > MAX_LENGTH:
+        raise TokenError('the token is malformed')
+    try:
+        packed = base64.b64decode(token.encode(), b'-_', validate=True)
+    except (UnicodeEncodeError, binascii.Error):
+        raise TokenError('the token is malformed') from None
+    # Base64 has several spellings of the same bytes; only one is accepted.
+    canonical = base64.urlsafe_b64encode(packed).decode() == token
+    if not canonical or len(packed) < _HEAD.size + _TAG:
+        raise TokenError('the token is malformed')
+    if packed[0] != _VERSION:
+        raise TokenError('the token is malformed')
+    return packed[:-_TAG], packed[-_TAG:]
--- /dev/null
+++ b/tests/test_tokens.py
@@ -0,0 +1,65 @@
+"""Tests of session tokens."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from monsoonproxy import tokens
+from monsoonproxy.clock import Millis
+from monsoonproxy.exceptions import TokenError
+from monsoonproxy.models import Position
+from tests.fixtures import load_functions
+
+load_tests = load_functions(__name__)
+
+_OLD = tokens.Key('old', b'o' * 32, Millis(0), Millis(1000))
+_NEW = tokens.Key('new', b'n' * 32, Millis(500))
+_BOTH = tokens.Signer([_OLD, _NEW])
+_NUMBER = st.integers(0, 2**64 - 1)
+
+
+def _reason(signer: tokens.Signer, token: str, service: str, now: int) -> str:
+    try:
+        signer.check(token, service, Millis(now))
+    except TokenError as exc:
+        return str(exc)
+    return 'accepted'
+
+
+@given(st.text(max_size=40), _NUMBER, _NUMBER)
+def test_round_trip(service: str, term: int, offset: int) -> None:
+    """Guards against a position that a token changes."""
+    position = Position(term, offset)
+    token = _BOTH.sign(service, position, Millis(600))
+    assert _BOTH.check(token, service, Millis(600)) == position
+
+
+@given(st.data())
+def test_forged(draw: st.DataObject) -> None:
+    """Guards against a changed token that is accepted."""
+    token = _BOTH.sign('hire', Position(3, 4), Millis(600))
+    place = draw.draw(st.integers(0, len(token) - 1))
+    other = draw.draw(st.sampled_from('ABCxyz019-_=+'))
+    forged = token[:place] + other + token[place + 1 :]
+    same = forged == token
+    assert (_reason(_BOTH, forged, 'hire', 600) == 'accepted') is same
+
+
+@given(st.text(max_size=600))
+def test_malformed(token: str) -> None:
+    """Guards against an error other than ``TokenError``."""
+    assert _reason(_BOTH, token, 'hire', 0) != 'accepted'
+
+
+def test_rotation() -> None:
+    """Guards against a key that signs too early or is accepted too long."""
+    position = Position(1, 2)
+    early = _BOTH.sign('hire', position, Millis(499))
+    late = _BOTH.sign('hire', position, Millis(500))
+    only_new = tokens.Signer([_NEW])
+    assert _reason(only_new, early, 'hire', 499) != 'accepted'
+    assert _reason(only_new, late, 'hire', 0) == 'accepted'
+    assert _reason(_BOTH, early, 'hire', 999) == 'accepted'
+    assert 'expired' in _reason(_BOTH, early, 'hire', 1000)
+    assert 'another service' in _reason(_BOTH, late, 'hire-2', 600)
+    same_id = tokens.Signer([tokens.Key('new', b'x' * 32)])
+    assert 'known key' in _reason(same_id, late, 'hire', 600)
