--- a/monsoonproxy/commands.py
+++ b/monsoonproxy/commands.py
@@ -1,43 +1,275 @@
 """The commands of the MySQL protocol."""
 
+from collections.abc import Awaitable, Callable, Mapping
 from typing import TYPE_CHECKING
 
-from mysql_mimic import packets as mimic
-from mysql_mimic.types import Commands
+import attrs
+from mysql_mimic.types import Capabilities, Commands
 
-from monsoonproxy import answers, packets
+from monsoonproxy import answers, binaries, bindings, marks, packets
+from monsoonproxy import statements, variables
+from monsoonproxy.exceptions import StatementError
 from monsoonproxy.models import StatementKind
 from monsoonproxy.streams import ConnectionGoneError, PacketError
 
 if TYPE_CHECKING:
     from monsoonproxy.connections import CallerConnection
 
+_Handler = Callable[['CallerConnection', bytes], Awaitable[None]]
+
+#: Most prepared statements of one connection, as in MySQL's default for all.
+MAX_PREPARED = 16_382
+_MAX_PARAMETERS = 65_535
+_ON = frozenset(('1', 'on', 'true'))
+_OFF = frozenset(('0', 'off', 'false'))
+_TOKEN_VARIABLE = 'monsoonproxy_token'  # noqa: S105 - a name, no secret
+_handlers: dict[int, _Handler] = {}
+
+
+def handles(command: Commands) -> Callable[[_Handler], _Handler]:
+    """Return a decorator that registers the handler of a command.
+
+    :param command: The command.
+    :returns: The decorator.
+    """
+
+    def decorator(handler: _Handler) -> _Handler:
+        _handlers[command.value] = handler
+        return handler
+
+    return decorator
+
 
 async def run(conn: 'CallerConnection', packet: bytes) -> None:
     """Run a command and put its answer into the stream.
 
     :param conn: The caller's connection.
     :param packet: The command.
+    :raises PacketError: If the packet is malformed.
     """
     if not packet:
-        raise PacketError(1835, 'empty command')
-    command = packet[0]
-    if command == Commands.COM_QUERY:
-        await _query(conn, packet[1:])
-    elif command == Commands.COM_PING:
-        conn.stream.put(packets.ok(conn.status))
-    elif command == Commands.COM_QUIT:
-        raise ConnectionGoneError('the caller has quit')
-    else:
-        raise PacketError(1047, f'unknown command {command}')
+        raise PacketError(1835, 'the command is empty')
+    handler = _handlers.get(packet[0])
+    if handler is None:
+        conn.fail(1047, '08S01', f'command {packet[0]} is not supported')
+        return
+    await handler(conn, packet[1:])
+
+
+@handles(Commands.COM_QUIT)
+async def _quit(conn: 'CallerConnection', content: bytes) -> None:
+    raise ConnectionGoneError('the caller has quit')
+
+
+@handles(Commands.COM_PING)
+@handles(Commands.COM_DEBUG)
+async def _ping(conn: 'CallerConnection', content: bytes) -> None:
+    conn.stream.put(packets.ok(conn.status))
+
 
+@handles(Commands.COM_RESET_CONNECTION)
+async def _reset(conn: 'CallerConnection', content: bytes) -> None:
+    await conn.renew(conn.state.service)
+    conn.stream.put(packets.ok(conn.status))
 
+
+@handles(Commands.COM_CHANGE_USER)
+async def _change_user(conn: 'CallerConnection', content: bytes) -> None:
+    await conn.change_user(content)
+
+
+@handles(Commands.COM_INIT_DB)
+async def _init_db(conn: 'CallerConnection', content: bytes) -> None:
+    await _use(conn, content.decode(errors='replace'))
+
+
+@handles(Commands.COM_QUERY)
 async def _query(conn: 'CallerConnection', content: bytes) -> None:
-    query = mimic.parse_com_query(
-        conn.capabilities, conn.client_charset, content
+    with_attributes = Capabilities.CLIENT_QUERY_ATTRIBUTES in conn.capabilities
+    sql, attributes = bindings.read_query(content, with_attributes)
+    await _run_sql(conn, sql, attributes, binaries.text_encoder)
+
+
+@handles(Commands.COM_STMT_PREPARE)
+async def _prepare(conn: 'CallerConnection', content: bytes) -> None:
+    parts = statements.split(content)
+    parameters = len(parts) - 1
+    if parameters > _MAX_PARAMETERS:
+        conn.fail(1390, 'HY000', 'the statement has too many placeholders')
+        return
+    if len(conn.prepared) >= MAX_PREPARED:
+        conn.fail(1461, '42000', f'more than {MAX_PREPARED} statements')
+        return
+    conn.last_prepared += 1
+    conn.prepared[conn.last_prepared] = bindings.Prepared(parts)
+    conn.stream.put(
+        *packets.prepared(conn.last_prepared, parameters, conn.status)
     )
-    statement = conn.frontend.classifier.parse(query.sql.encode())
-    if statement.kind is StatementKind.SET:
-        conn.stream.put(packets.ok(conn.status))
+
+
+@handles(Commands.COM_STMT_EXECUTE)
+async def _execute(conn: 'CallerConnection', content: bytes) -> None:
+    reader = bindings.Reader(content)
+    prepared = _prepared(conn, reader)
+    with_attributes = Capabilities.CLIENT_QUERY_ATTRIBUTES in conn.capabilities
+    try:
+        sql, attributes = bindings.read_execution(
+            reader, prepared, with_attributes
+        )
+    finally:
+        prepared.long_data = None
+    await _run_sql(conn, sql, attributes, binaries.binary_encoder)
+
+
+@handles(Commands.COM_STMT_SEND_LONG_DATA)
+async def _long_data(conn: 'CallerConnection', content: bytes) -> None:
+    # This command has no answer, not even an error.
+    reader = bindings.Reader(content)
+    prepared = conn.prepared.get(reader.number(4))
+    index = reader.number(2)
+    if prepared is None:
+        return
+    if prepared.long_data is None:
+        prepared.long_data = {}
+    piece = reader.rest()
+    held = sum(map(len, prepared.long_data.values()))
+    if held + len(piece) > conn.frontend.limits.packet:
+        raise PacketError(1153, 'a parameter is larger than the packet limit')
+    prepared.long_data.setdefault(index, bytearray()).extend(piece)
+
+
+@handles(Commands.COM_STMT_RESET)
+async def _reset_statement(conn: 'CallerConnection', content: bytes) -> None:
+    _prepared(conn, bindings.Reader(content)).long_data = None
+    conn.stream.put(packets.ok(conn.status))
+
+
+@handles(Commands.COM_STMT_CLOSE)
+async def _close_statement(conn: 'CallerConnection', content: bytes) -> None:
+    conn.prepared.pop(bindings.Reader(content).number(4), None)
+
+
+def _prepared(
+    conn: 'CallerConnection', reader: bindings.Reader
+) -> bindings.Prepared:
+    prepared = conn.prepared.get(reader.number(4))
+    if prepared is None:
+        raise StatementError('the prepared statement does not exist')
+    return prepared
+
+
+async def _run_sql(
+    conn: 'CallerConnection',
+    sql: bytes,
+    attributes: Mapping[str, bytes | None],
+    encoders: answers.Encoders,
+) -> None:
+    if not sql.strip():
+        conn.fail(1065, '42000', 'the statement is empty')
+        return
+    statement = conn.frontend.classifier.parse(sql, attributes)
+    if statement.marks.token is not None:
+        _take_token(conn, statement.marks.token)
+    if statement.kind is StatementKind.LOCAL:
+        _answer_locally(conn, sql, encoders)
+    elif statement.kind is StatementKind.SET:
+        await _set(conn, sql)
+    else:
+        merged = conn.state.merge(statement.marks)
+        if merged is not statement.marks:
+            statement = attrs.evolve(statement, marks=merged)
+        await answers.run(conn, statement, encoders)
+
+
+def _answer_locally(
+    conn: 'CallerConnection', sql: bytes, encoders: answers.Encoders
+) -> None:
+    context = variables.Context(_values(conn), conn.state.warnings)
+    table = variables.answer(sql, context)
+    encode = encoders(table.columns)
+    conn.stream.put(
+        *packets.header(table.columns, conn.status, conn.short_ends),
+        *map(encode, table.rows),
+        packets.end_of_rows(conn.status, 0, conn.short_ends),
+    )
+
+
+def _values(conn: 'CallerConnection') -> dict[str, str | None]:
+    session = conn.state
+    user = f'{conn.session.username}@%'
+    return {
+        'autocommit': '1' if session.autocommit else '0',
+        _TOKEN_VARIABLE: _token(conn),
+        'database()': session.service,
+        'schema()': session.service,
+        'version()': variables.VERSION,
+        'user()': user,
+        'current_user()': user,
+        'session_user()': user,
+        'connection_id()': str(conn.connection_id),
+        'last_insert_id()': str(session.insert_id),
+    }
+
+
+def _token(conn: 'CallerConnection') -> str | None:
+    session = conn.state
+    if session.floor is None:
+        return None
+    frontend = conn.frontend
+    return frontend.signer.sign(
+        session.service, session.floor, frontend.clock.wall()
+    )
+
+
+def _take_token(conn: 'CallerConnection', token: str) -> None:
+    frontend = conn.frontend
+    position = frontend.signer.check(
+        token, conn.state.service, frontend.clock.wall()
+    )
+    conn.state.raise_floor(position)
+
+
+async def _set(conn: 'CallerConnection', sql: bytes) -> None:
+    service = variables.read_use(sql)
+    if service is not None:
+        await _use(conn, service)
+        return
+    for name, text in variables.read_set(sql):
+        if name == 'autocommit':
+            if not await _set_autocommit(conn, text.lower()):
+                return
+        elif name == _TOKEN_VARIABLE:
+            _take_token(conn, text)
+        else:
+            _set_default(conn, name.removeprefix('monsoonproxy_'), text)
+    conn.stream.put(packets.ok(conn.status))
+
+
+async def _set_autocommit(conn: 'CallerConnection', text: str) -> bool:
+    if text not in _ON and text not in _OFF:
+        raise StatementError(f'autocommit is on or off, not {text[:64]!r}')
+    session = conn.state
+    if text in _ON and not session.autocommit and session.in_transaction:
+        if not await answers.control(conn, StatementKind.COMMIT):
+            return False
+    session.autocommit = text in _ON
+    return True
+
+
+def _set_default(conn: 'CallerConnection', key: str, text: str) -> None:
+    if key not in {'max_age_ms', 'deadline_ms', 'class'}:
+        raise StatementError(f'variable monsoonproxy_{key} does not exist')
+    field, mark = marks.read_one(key, text)
+    session = conn.state
+    session.defaults = attrs.evolve(session.defaults, **{field: mark})
+
+
+async def _use(conn: 'CallerConnection', service: str) -> None:
+    if not conn.frontend.executor.known(service):
+        conn.fail(1049, '42000', f'Unknown database {service[:64]!r}')
         return
-    await answers.run(conn, statement, packets.text_row)
+    if service != conn.state.service:
+        if conn.state.in_transaction:
+            raise StatementError('a transaction belongs to one service')
+        await conn.renew(service)
+    conn.stream.put(packets.ok(conn.status))
--- a/monsoonproxy/statements.py
+++ b/monsoonproxy/statements.py
@@ -224,7 +224,7 @@
         known = _ALWAYS.get(first)
         if known is not None:
             return known
-        if len(sql) > MAX_EXAMINED:
+        if len(sql) > MAX_EXAMINED and first in _READS:
             return _WRITE
         text = normalize(sql).lstrip(b'( \t\r\n')
         shape = self._shapes.get(text)
--- a/monsoonproxy/streams.py
+++ b/monsoonproxy/streams.py
@@ -12,6 +12,8 @@
 MAX_FRAME = 0xFFFFFF
 #: Most unread bytes that are buffered while a command is in work.
 READ_AHEAD = 65_536
+#: Size of the output buffer from which it is sent in the middle of an answer.
+BATCH = 32_768
 _HEADER = 4
 _SEQUENCES = 256
 
@@ -59,6 +61,7 @@
     limit: int
     transport: Any = None
     closed: bool = False
+    closing: bool = False
     _input: bytearray | None = None
     _output: bytearray | None = None
     _sequence: int = 0
@@ -212,6 +215,11 @@
         if self.closed:
             raise ConnectionGoneError('the caller closed the connection')
 
+    async def drain_some(self) -> None:
+        """Send the output buffer once it is large."""
+        if self._output is not None and len(self._output) >= BATCH:
+            await self.drain()
+
     def flush(self) -> None:
         """Hand the output buffer to the transport."""
         if self._output is not None:
@@ -239,13 +247,39 @@
         :param context: The server's context.
         """
         loop = asyncio.get_running_loop()
-        self.transport = await loop.start_tls(
-            self.transport, self, context, server_side=True
+        plain = self.transport
+        early, self._input = self._input, None
+        upgrade = loop.create_task(
+            loop.start_tls(plain, self, context, server_side=True)
         )
+        if early is not None:
+            await _feed(plain, early)
+        self.transport = await upgrade
+
+    def put_answer(self, packet: bytes) -> None:
+        """Put a packet that the caller takes for the answer to its next one.
+
+        :param packet: The payload.
+        """
+        self._sequence = 1
+        self.put(packet)
+
+    def finish_writing(self) -> None:
+        """Send what is buffered and tell the caller that nothing follows."""
+        self.flush()
+        if not self.closed and self.transport.can_write_eof():
+            self.transport.write_eof()
+
+    async def discard(self) -> None:
+        """Drop what the caller sends until it closes the connection."""
+        while not self.closed:
+            self._input = None
+            await self._more()
 
     def close(self) -> None:
         """Send what is buffered and close the connection."""
         self.flush()
+        self.closing = True
         self.transport.close()
 
 
@@ -259,6 +293,18 @@
     return sequence
 
 
+async def _feed(transport: Any, early: bytearray) -> None:
+    # A caller may send its first TLS record together with the request for
+    # TLS. The TLS layer is in place after the task of the upgrade and the
+    # callbacks that it scheduled have run.
+    for _ in range(3):
+        await asyncio.sleep(0)
+    layer = transport.get_protocol()
+    view = layer.get_buffer(len(early))
+    view[: len(early)] = early
+    layer.buffer_updated(len(early))
+
+
 def _wake(waiter: asyncio.Future[None] | None) -> None:
     if waiter is not None and not waiter.done():
         waiter.set_result(None)
