--- a/emulator/audit.py
+++ b/emulator/audit.py
@@ -12,7 +12,8 @@
     Every line has ``kind``, ``server`` and ``at`` (Unix time in ms). Kinds:
 
     - ``statement``: ``connection``, ``transaction``, ``sql``, ``error``
-    - ``commit``: ``connection``, ``transaction``, ``term``, ``offset``
+    - ``commit``: ``connection``, ``transaction``, ``term``, ``offset``, and
+      ``rows`` with the table, key and new row of each change
     - ``rollback``: ``connection``, ``transaction``, ``reason``
     - ``term``, ``promote``, ``follow``, ``truncate``: ``term``, ``end``
 
--- a/emulator/member.py
+++ b/emulator/member.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import time
+from collections.abc import Iterable
 from typing import Protocol
 
 import attrs
@@ -10,7 +11,7 @@
 from emulator.audit import Audit
 from emulator.delays import DelayLine
 from emulator.errors import SqlError, read_only, term_changed, term_refused
-from emulator.log import Change, Entry, Log
+from emulator.log import Cell, Change, Entry, Log
 from emulator.signals import Signal
 from emulator.switches import Gate, Switches
 from emulator.tables import Tables
@@ -235,6 +236,7 @@
                 transaction=transaction.name,
                 term=entry.term,
                 offset=offset,
+                rows=[_audited(change) for change in changes],
             )
         self.transactions.close(transaction)
         return self.log.term, self.log.end
@@ -286,6 +288,20 @@
     return Promise(**json.loads(meta.read_text()))
 
 
+def _audited(change: Change) -> list[object]:
+    row = None if change.row is None else _texts(change.row)
+    return [change.table, _texts(change.key), row]
+
+
+def _texts(cells: Iterable[Cell]) -> list[int | str | None]:
+    return [
+        cell.decode('utf-8', 'surrogateescape')
+        if isinstance(cell, bytes)
+        else cell
+        for cell in cells
+    ]
+
+
 def _promised(promise: Promise) -> SqlError:
     term, candidate = promise.term, promise.candidate
     return term_refused(f'term {term} was promised to {candidate!r}')
--- a/emulator/selects.py
+++ b/emulator/selects.py
@@ -257,6 +257,8 @@
 
 
 def _holds(cell: Cell, how: str, cells: tuple[Cell, ...]) -> bool:
+    if how.startswith('is'):
+        return (cell is None) == (how == 'is null')
     if cell is None or None in cells:
         return False
     if how == 'in':
@@ -278,4 +280,6 @@
     expression = output.expression
     if isinstance(expression, syntax.Column):
         return table.schema.columns[table.index(expression.name)].kind
-    return 'int'
+    if isinstance(expression, syntax.Sum):
+        return 'int'
+    return 'text' if expression is None else _kind(constant(expression))
--- a/emulator/sql.py
+++ b/emulator/sql.py
@@ -251,6 +251,10 @@
             if isinstance(choice, syntax.Literal)
         ]
         return syntax.Condition(column, 'in', tuple(cells))
+    if cursor.accept('IS', 'NULL'):
+        return syntax.Condition(column, 'is null', ())
+    if cursor.accept('IS', 'NOT', 'NULL'):
+        return syntax.Condition(column, 'is not null', ())
     operator = cursor.take().text
     if operator not in _COMPARISONS:
         raise syntax_error(operator)
--- a/emulator/syntax.py
+++ b/emulator/syntax.py
@@ -52,8 +52,8 @@
     """A comparison of a column with literals.
 
     :param column: Column name.
-    :param operator: ``=``, ``<``, ``in`` and so on.
-    :param cells: The literals; more than one only for ``in``.
+    :param operator: ``=``, ``<``, ``in``, ``is null`` and so on.
+    :param cells: The literals; one, unless the operator is a word.
     """
 
     column: str
--- a/monsoonproxy/platforms.py
+++ b/monsoonproxy/platforms.py
@@ -12,7 +12,7 @@
 from monsoonproxy.exceptions import PlatformError, PreconditionError
 from monsoonproxy.models import Host, HostState
 
-_OK = 200
+_SUCCESSES = frozenset((200, 201, 204))
 _NOT_FOUND = 404
 _PRECONDITION_FAILED = 412
 _DEFAULT_TIMEOUT = Millis(1000)
@@ -52,8 +52,7 @@
         reply = await self._call('GET', _path('table', key))
         if reply.status == _NOT_FOUND:
             return None
-        _check(reply)
-        return adapters.Versioned(reply.etag, reply.body)
+        return adapters.Versioned(_etag(reply), reply.body)
 
     async def write(self, key: str, body: bytes, etag: str | None) -> str:
         """Write a key of the table service if it is still as expected.
@@ -72,8 +71,7 @@
         )
         if reply.status == _PRECONDITION_FAILED:
             raise PreconditionError(f'{key} was changed by someone else')
-        _check(reply)
-        return reply.etag
+        return _etag(reply)
 
     async def put_object(self, key: str, body: bytes) -> None:
         """Store an object.
@@ -160,10 +158,17 @@
 
 
 def _check(reply: _Reply) -> None:
-    if reply.status != _OK:
+    if reply.status not in _SUCCESSES:
         raise PlatformError(f'the platform answered {reply.status}')
 
 
+def _etag(reply: _Reply) -> str:
+    _check(reply)
+    if not reply.etag:
+        raise PlatformError('the platform sent no ETag')
+    return reply.etag
+
+
 def _host(entry: dict[str, str]) -> Host:
     return Host(
         address=entry['address'],
--- a/tests/test_database_stand_in.py
+++ b/tests/test_database_stand_in.py
@@ -3,10 +3,13 @@
 import asyncio
 import json
 import pathlib
+import sys
 import tempfile
 from collections.abc import Callable
 from typing import Any
 
+import aiohttp
+
 from emulator.database import Database
 from emulator.locks import Locks, Owner
 from emulator.log import Entry, Log
@@ -224,6 +227,52 @@
     assert await error_code(on_replica, 'SELECT * FROM t') == 0
 
 
+async def test_receive_lag(group: Group) -> None:
+    """Guards against a receive lag that loses or reorders entries."""
+    primary, replica, _third = await group.start_three()
+    on_primary, on_replica = await group.connect_each(primary, replica)
+    await received(on_replica, 1)
+    replica.switch({'receive_lag_ms': 3_600_000})
+    await run(on_primary, _TABLE, "INSERT INTO t VALUES (1, 'x')")
+    await asyncio.sleep(0.1)
+    assert replica.member.log.end == 1
+    replica.switch({'receive_lag_ms': 0})
+    await received(on_replica, 3)
+    assert replica.member.log.after(0) == primary.member.log.after(0)
+
+
+async def test_control_port(group: Group) -> None:
+    """Guards against a misspelt switch that is silently ignored."""
+    primary = await group.start('db1', primary=True)
+    url = f'http://{primary.control_address}'
+    async with aiohttp.ClientSession() as session:
+        reply = await session.post(f'{url}/switches', json={'slowms': 5})
+        assert reply.status == 400
+        await session.post(f'{url}/switches', json={'leaving': True})
+        reply = await session.get(f'{url}/status')
+        shown = await reply.json()
+    assert shown['status']['leaving'] == '1'
+    assert shown['counters']['connections'] == 0
+
+
+async def test_process() -> None:
+    """Guards against a command that does not start or does not end."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'emulator',
+        'database',
+        '--name',
+        'db1',
+        stdout=asyncio.subprocess.PIPE,
+    )
+    assert process.stdout is not None
+    line = json.loads(await process.stdout.readline())
+    assert line['name'] == 'db1' and line['address'].startswith('127.0.0.1:')
+    process.terminate()
+    assert await process.wait() == 0
+
+
 async def test_source_silence(group: Group) -> None:
     """Guards against a cut that the replicas don't report, or never end."""
     primary, replica, _third = await group.start_three()
@@ -285,5 +334,6 @@
         entry.transaction for entry in entries
     ]
     ran = [line for line in lines if line['kind'] == 'statement']
+    assert committed[-1]['rows'] == [['t', [1], [1, 'x']]]
     assert ran[-1]['transaction'] == committed[-1]['transaction']
     assert ran[-1]['connection'] == connection.connection_id
