--- a/emulator/control.py
+++ b/emulator/control.py
@@ -63,12 +63,13 @@
     :param process: What to run.
     :param names: Attributes to print.
     """
-    await process.start()
-    line = {name: getattr(process, name) for name in names}
-    print(json.dumps(line), flush=True)
     ended = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
+    await process.start()
+    line = {name: getattr(process, name) for name in names}
+    # Whoever reads this line may send a signal at once.
+    print(json.dumps(line), flush=True)
     await ended.wait()
     await process.close()
