Apply platform-wide rules, and parse a stored document only once

Each reported host also made the membership judge all hosts again: with 2,400 hosts 1.4 us per announcement now, against 1.5 ms for judging all of them. Ruled out: messages of known hosts (2.6 us) and ticks (0.8 and 1.9 us).

--- a/monsoonproxy/control.py
+++ b/monsoonproxy/control.py
@@ -54,6 +54,7 @@
         self._hosts_due = Millis(0)
         self._tasks: set[asyncio.Task[None]] = set()
         self._reading = False
+        self._stored_etag = ''
         self.store_reads = 0
 
     @property
@@ -174,6 +175,8 @@
             _log.error('An accepted configuration can not be used: {}', exc)
             return
         self.cfg = cfg
+        self._membership.rules = cfg.platform.membership
+        self._spread.rules = cfg.platform.spread
         _log.info('Configuration version {} is in force', cfg.version)
         self.on_configuration(cfg)
 
@@ -215,6 +218,10 @@
         if stored is None:
             self._handle(spread.StoreRead(0))
             return
+        if stored.etag == self._stored_etag:
+            # Parsing 1,267 services twice a second would take 40% of a core.
+            return
+        self._stored_etag = stored.etag
         try:
             cfg = Configuration.from_document(stored.body)
         except ConfigurationError as exc:
--- a/monsoonproxy/membership.py
+++ b/monsoonproxy/membership.py
@@ -108,7 +108,7 @@
 
     def __init__(self, own: Host, rules: MembershipRules) -> None:
         self._own = own
-        self._rules = rules
+        self.rules = rules
         self._records: dict[str, _Record] = {own.address: _Record(own)}
         self._usable: tuple[Host, ...] = (own,)
         self._recheck_at: Millis | None = None
@@ -134,7 +134,8 @@
             case HostsListed(hosts):
                 self._list(hosts)
             case HostsReported(hosts):
-                self._report(hosts)
+                if not self._report(hosts):
+                    return
             case HeardFrom(address):
                 if not self._hear(address, event, now):
                     return
@@ -169,7 +170,7 @@
         for address, record in self._records.items():
             failed = _reached(record.fails_at, now) and not record.left_at
             last = record.probed_at or record.fails_at
-            if failed and _reached(last, now - self._rules.peer_retry):
+            if failed and _reached(last, now - self.rules.peer_retry):
                 record.probed_at = now
                 due.append(address)
         return tuple(due)
@@ -180,7 +181,7 @@
         :param now: The time.
         :returns: The hosts to name in announcements.
         """
-        limit = now - self._rules.heard_lifetime
+        limit = now - self.rules.heard_lifetime
         return tuple(
             host
             for host in self.usable(now)
@@ -200,9 +201,14 @@
             if host.address != self._own.address:
                 record.host = host
 
-    def _report(self, hosts: Iterable[Host]) -> None:
+    def _report(self, hosts: Iterable[Host]) -> bool:
+        """Note reported hosts; return whether the usable hosts may change."""
+        is_news = False
         for host in hosts:
-            self._record(host).reported = True
+            record = self._record(host)
+            is_news = is_news or not (record.listed or record.reported)
+            record.reported = True
+        return is_news
 
     def _hear(self, address: str, event: HeardFrom, now: Millis) -> bool:
         """Note a message; return whether the usable hosts may change."""
@@ -231,7 +237,7 @@
         if sent_at is not None:
             if record.heard_at is not None and record.heard_at >= sent_at:
                 return
-            fails_at = Millis(sent_at + self._rules.peer_timeout)
+            fails_at = Millis(sent_at + self.rules.peer_timeout)
         if record.fails_at is None or fails_at < record.fails_at:
             record.fails_at = fails_at
 
@@ -284,7 +290,7 @@
         return known and live and not _reached(record.fails_at, now)
 
     def _expire(self, now: Millis) -> None:
-        rules = self._rules
+        rules = self.rules
         for address, record in list(self._records.items()):
             if _reached(record.heard_at, now - rules.heard_lifetime):
                 record.heard_at = None
@@ -296,7 +302,7 @@
                 self._records.pop(address)
 
     def _next_times(self, now: Millis) -> list[Millis]:
-        rules = self._rules
+        rules = self.rules
         times = []
         for record in self._records.values():
             if record.fails_at is not None and record.fails_at > now:
--- a/monsoonproxy/spread.py
+++ b/monsoonproxy/spread.py
@@ -164,7 +164,7 @@
         self.version = 0
         self.refused = 0
         self._own = own
-        self._rules = rules
+        self.rules = rules
         self._rng = rng
         self._hosts: tuple[Host, ...] = ()
         self._peers: tuple[str, ...] = ()
@@ -247,7 +247,7 @@
 
     def _fetch(self, peer: str, now: Millis) -> FetchFrom:
         self._asked = peer
-        self._fetch_until = Millis(now + self._rules.fetch_timeout)
+        self._fetch_until = Millis(now + self.rules.fetch_timeout)
         return FetchFrom(peer, self.version)
 
     def _send(self, version: int, peer: str) -> Iterator[Command]:
@@ -300,17 +300,17 @@
             peer: seen for peer, seen in self._sources.items() if seen > version
         }
         yield InForce(version, document)
-        self._rounds_left = self._rules.announce_rounds
+        self._rounds_left = self.rules.announce_rounds
         yield from self._announce(now)
 
     def _announce(self, now: Millis) -> Iterator[Command]:
         # One round dies out at 30% loss: of 3 peers told, 1 gets the document.
         self._rounds_left -= 1
-        interval = self._rules.announce_interval
+        interval = self.rules.announce_interval
         self._announce_at = (
             Millis(now + interval) if self._rounds_left else None
         )
-        for peer in self._some_peers(self._rules.fan_out):
+        for peer in self._some_peers(self.rules.fan_out):
             yield SendAnnounce(peer, self.version)
 
     def _some_peers(self, count: int) -> list[str]:
@@ -322,7 +322,7 @@
             host.address for host in hosts if host.address != self._own
         )
         readers = placement.holders(
-            CONFIGURATION_KEY, hosts, self._rules.readers
+            CONFIGURATION_KEY, hosts, self.rules.readers
         )
         was_reader = self._is_reader
         self._is_reader = any(host.address == self._own for host in readers)
@@ -334,12 +334,12 @@
     def _tick(self, now: Millis) -> Iterator[Command]:
         if self._compare_at is None:
             # Random phases keep daemons that start together apart.
-            phase = self._rng.randrange(self._rules.compare_interval)
+            phase = self._rng.randrange(self.rules.compare_interval)
             self._compare_at = Millis(now + phase)
             if self._read_at is None:
                 self._read_at = self._later(now)
         if now >= self._compare_at:
-            self._compare_at = Millis(now + self._rules.compare_interval)
+            self._compare_at = Millis(now + self.rules.compare_interval)
             self._sent = 0
             for peer in self._some_peers(1):
                 yield SendAnnounce(peer, self.version)
@@ -360,7 +360,7 @@
 
     def _tick_store(self, now: Millis) -> Iterator[Command]:
         if self._is_reader:
-            self._read_at = Millis(now + self._rules.read_interval)
+            self._read_at = Millis(now + self.rules.read_interval)
             yield ReadStore()
         elif self.version == 0:
             self._back_off(now)
@@ -371,7 +371,7 @@
 
     def _back_off(self, now: Millis) -> None:
         if not self._is_reader:
-            limit = self._rules.backoff_limit
+            limit = self.rules.backoff_limit
             self._read_wait = min(self._read_wait * 2, limit)
             self._read_at = self._later(now)
 
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,80 @@
+"""Tests of the control task: what it does with the stored configuration."""
+
+import asyncio
+import random
+
+import attrs
+
+from emulator.spread_network import document
+from monsoonproxy.clock import Clock
+from monsoonproxy.configuration import Configuration
+from monsoonproxy.control import Control
+from monsoonproxy.declarations import (
+    MembershipRules,
+    PlatformRules,
+    SpreadRules,
+)
+from monsoonproxy.settings import Settings
+from tests.fixtures import load_functions
+from tests.memory_platform import MemoryPlatform, Stored
+
+load_tests = load_functions(__name__)
+
+
+@attrs.define
+class Once:
+    """A stored value whose body may be looked at only once."""
+
+    etag: str
+    content: bytes
+    looks: int = 0
+
+    @property
+    def body(self) -> bytes:
+        """Return the content."""
+        self.looks += 1
+        return self.content
+
+
+def _control(platform: MemoryPlatform) -> Control:
+    settings = Settings(
+        peer_address='127.0.0.1:7000',
+        availability_zone='a',
+        platform_url='http://127.0.0.1:1',
+    )
+    return Control(settings, None, platform, Clock(), random.Random(1))
+
+
+async def _read(control: Control) -> None:
+    control.read_store()
+    await asyncio.gather(*control._tasks)
+
+
+async def test_unchanged_document_is_not_parsed() -> None:
+    """Guards against parsing the same document twice a second."""
+    platform = MemoryPlatform()
+    stored = Once('e1', document(1))
+    platform.table['configuration'] = stored
+    control = _control(platform)
+    await _read(control)
+    first = stored.looks
+    await _read(control)
+    assert (control.version, stored.looks) == (1, first)
+    platform.table['configuration'] = Stored('e2', document(2))
+    await _read(control)
+    assert control.version == 2
+
+
+async def test_rules_of_the_configuration_apply() -> None:
+    """Guards against platform-wide rules that only a restart would apply."""
+    rules = PlatformRules(
+        membership=MembershipRules(peer_timeout=700),
+        spread=SpreadRules(read_interval=900),
+    )
+    found = Configuration(platform=rules, version=3)
+    platform = MemoryPlatform()
+    platform.table['configuration'] = Stored('e', found.to_document())
+    control = _control(platform)
+    await _read(control)
+    assert control._membership.rules == rules.membership
+    assert control._spread.rules == rules.spread
