--- a/monsoonproxy/membership.py
+++ b/monsoonproxy/membership.py
@@ -130,24 +130,23 @@
         :param event: What happened.
         :param now: When.
         """
+        if self._note(event, now):
+            self._refresh(now)
+
+    def _note(self, event: Event, now: Millis) -> bool:
+        """Note an event; return whether the usable hosts may change."""
         match event:
             case HostsListed(hosts):
-                self._list(hosts)
+                return self._list(hosts)
             case HostsReported(hosts):
-                if not self._report(hosts):
-                    return
+                return self._report(hosts)
             case HeardFrom(address):
-                if not self._hear(address, event, now):
-                    return
-            case Tick():
-                if not _reached(self._recheck_at, now):
-                    return
+                return self._hear(address, event, now)
             case SendFailed(address, sent_at):
-                self._fail(address, sent_at, now)
+                return self._fail(address, sent_at, now)
             case SaidGoodbye(address):
-                if not self._leave(address, now):
-                    return
-        self._refresh(now)
+                return self._leave(address, now)
+        return _reached(self._recheck_at, now)
 
     def usable(self, now: Millis) -> tuple[Host, ...]:
         """Return the hosts that may get new requests.
@@ -188,10 +187,10 @@
             if (self._records[host.address].heard_at or limit) > limit
         )
 
-    def _list(self, hosts: tuple[Host, ...]) -> None:
+    def _list(self, hosts: tuple[Host, ...]) -> bool:
+        # This daemon runs, so an empty list is a fault of the platform.
         if not hosts:
-            # This daemon runs, so an empty list is a fault of the platform.
-            return
+            return False
         for known in self._records.values():
             known.listed = False
             known.reported = False
@@ -200,9 +199,9 @@
             record.listed = True
             if host.address != self._own.address:
                 record.host = host
+        return True
 
     def _report(self, hosts: Iterable[Host]) -> bool:
-        """Note reported hosts; return whether the usable hosts may change."""
         is_news = False
         for host in hosts:
             record = self._record(host)
@@ -211,7 +210,6 @@
         return is_news
 
     def _hear(self, address: str, event: HeardFrom, now: Millis) -> bool:
-        """Note a message; return whether the usable hosts may change."""
         record = self._record(Host(address, event.availability_zone))
         was_known = record.listed or record.heard_at is not None
         was_out = record.fails_at is not None or record.left_at is not None
@@ -236,13 +234,13 @@
         fails_at = now
         if sent_at is not None:
             if record.heard_at is not None and record.heard_at >= sent_at:
-                return
+                return False
             fails_at = Millis(sent_at + self.rules.peer_timeout)
         if record.fails_at is None or fails_at < record.fails_at:
             record.fails_at = fails_at
+        return True
 
     def _leave(self, address: str, now: Millis) -> bool:
-        """Note a goodbye; return whether the usable hosts may change."""
         was_known = address in self._records
         # An unknown host is remembered too: it may be listed later.
         self._record(Host(address, '')).left_at = now
