--- a/monsoonproxy/membership.py
+++ b/monsoonproxy/membership.py
@@ -227,10 +227,10 @@
             record.host = attrs.evolve(record.host, availability_zone=zone)
         return was_out or is_news or not was_known
 
-    def _fail(self, address: str, sent_at: Millis | None, now: Millis) -> None:
+    def _fail(self, address: str, sent_at: Millis | None, now: Millis) -> bool:
         record = self._records.get(address)
         if record is None or address == self._own.address:
-            return
+            return False
         fails_at = now
         if sent_at is not None:
             if record.heard_at is not None and record.heard_at >= sent_at:
