--- a/monsoonproxy/membership.py
+++ b/monsoonproxy/membership.py
@@ -108,7 +108,7 @@
 
     def __init__(self, own: Host, rules: MembershipRules) -> None:
         self._own = own
-        self._rules = rules
+        self.rules = rules
         self._records: dict[str, _Record] = {own.address: _Record(own)}
         self._usable: tuple[Host, ...] = (own,)
         self._recheck_at: Millis | None = None
@@ -130,23 +130,23 @@
         :param event: What happened.
         :param now: When.
         """
+        if self._note(event, now):
+            self._refresh(now)
+
+    def _note(self, event: Event, now: Millis) -> bool:
+        """Note an event; return whether the usable hosts may change."""
         match event:
             case HostsListed(hosts):
-                self._list(hosts)
+                return self._list(hosts)
             case HostsReported(hosts):
-                self._report(hosts)
+                return self._report(hosts)
             case HeardFrom(address):
-                if not self._hear(address, event, now):
-                    return
-            case Tick():
-                if not _reached(self._recheck_at, now):
-                    return
+                return self._hear(address, event, now)
             case SendFailed(address, sent_at):
-                self._fail(address, sent_at, now)
+                return self._fail(address, sent_at, now)
             case SaidGoodbye(address):
-                if not self._leave(address, now):
-                    return
-        self._refresh(now)
+                return self._leave(address, now)
+        return _reached(self._recheck_at, now)
 
     def usable(self, now: Millis) -> tuple[Host, ...]:
         """Return the hosts that may get new requests.
@@ -169,7 +169,7 @@
         for address, record in self._records.items():
             failed = _reached(record.fails_at, now) and not record.left_at
             last = record.probed_at or record.fails_at
-            if failed and _reached(last, now - self._rules.peer_retry):
+            if failed and _reached(last, now - self.rules.peer_retry):
                 record.probed_at = now
                 due.append(address)
         return tuple(due)
@@ -180,17 +180,17 @@
         :param now: The time.
         :returns: The hosts to name in announcements.
         """
-        limit = now - self._rules.heard_lifetime
+        limit = now - self.rules.heard_lifetime
         return tuple(
             host
             for host in self.usable(now)
             if (self._records[host.address].heard_at or limit) > limit
         )
 
-    def _list(self, hosts: tuple[Host, ...]) -> None:
+    def _list(self, hosts: tuple[Host, ...]) -> bool:
+        # This daemon runs, so an empty list is a fault of the platform.
         if not hosts:
-            # This daemon runs, so an empty list is a fault of the platform.
-            return
+            return False
         for known in self._records.values():
             known.listed = False
             known.reported = False
@@ -199,13 +199,17 @@
             record.listed = True
             if host.address != self._own.address:
                 record.host = host
+        return True
 
-    def _report(self, hosts: Iterable[Host]) -> None:
+    def _report(self, hosts: Iterable[Host]) -> bool:
+        is_news = False
         for host in hosts:
-            self._record(host).reported = True
+            record = self._record(host)
+            is_news = is_news or not (record.listed or record.reported)
+            record.reported = True
+        return is_news
 
     def _hear(self, address: str, event: HeardFrom, now: Millis) -> bool:
-        """Note a message; return whether the usable hosts may change."""
         record = self._record(Host(address, event.availability_zone))
         was_known = record.listed or record.heard_at is not None
         was_out = record.fails_at is not None or record.left_at is not None
@@ -223,20 +227,20 @@
             record.host = attrs.evolve(record.host, availability_zone=zone)
         return was_out or is_news or not was_known
 
-    def _fail(self, address: str, sent_at: Millis | None, now: Millis) -> None:
+    def _fail(self, address: str, sent_at: Millis | None, now: Millis) -> bool:
         record = self._records.get(address)
         if record is None or address == self._own.address:
-            return
+            return False
         fails_at = now
         if sent_at is not None:
             if record.heard_at is not None and record.heard_at >= sent_at:
-                return
-            fails_at = Millis(sent_at + self._rules.peer_timeout)
+                return False
+            fails_at = Millis(sent_at + self.rules.peer_timeout)
         if record.fails_at is None or fails_at < record.fails_at:
             record.fails_at = fails_at
+        return True
 
     def _leave(self, address: str, now: Millis) -> bool:
-        """Note a goodbye; return whether the usable hosts may change."""
         was_known = address in self._records
         # An unknown host is remembered too: it may be listed later.
         self._record(Host(address, '')).left_at = now
@@ -284,7 +288,7 @@
         return known and live and not _reached(record.fails_at, now)
 
     def _expire(self, now: Millis) -> None:
-        rules = self._rules
+        rules = self.rules
         for address, record in list(self._records.items()):
             if _reached(record.heard_at, now - rules.heard_lifetime):
                 record.heard_at = None
@@ -296,7 +300,7 @@
                 self._records.pop(address)
 
     def _next_times(self, now: Millis) -> list[Millis]:
-        rules = self._rules
+        rules = self.rules
         times = []
         for record in self._records.values():
             if record.fails_at is not None and record.fails_at > now:
