--- a/monsoonproxy/answers.py
+++ b/monsoonproxy/answers.py
@@ -1,7 +1,7 @@
 """Answers of the executor on their way to the caller."""
 
 import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -110,7 +110,7 @@
 
 async def _replies(
     conn: 'CallerConnection', statement: statements.Statement
-) -> AsyncIterator[messages.Reply]:
+) -> AsyncGenerator[messages.Reply, None]:
     executor = conn.frontend.executor
     replies = executor.execute(conn.state, statement)
     ended = False
--- a/monsoonproxy/binaries.py
+++ b/monsoonproxy/binaries.py
@@ -49,7 +49,7 @@
 
     def encode(row: messages.Row) -> bytes:
         nulls = bytearray(size)
-        parts = [b'\x00', nulls]
+        parts: list[bytes | bytearray] = [b'\x00', nulls]
         for index, cell in enumerate(row):
             if cell is None:
                 place = index + 2
--- a/monsoonproxy/commands.py
+++ b/monsoonproxy/commands.py
@@ -184,7 +184,10 @@
 def _answer_locally(
     conn: 'CallerConnection', sql: bytes, encoders: answers.Encoders
 ) -> None:
-    context = variables.Context(_values(conn), conn.state.warnings)
+    values = _values(conn)
+    if _TOKEN_VARIABLE.encode() in sql.lower():
+        values[_TOKEN_VARIABLE] = _token(conn)
+    context = variables.Context(values, conn.state.warnings)
     table = variables.answer(sql, context)
     encode = encoders(table.columns)
     conn.stream.put(
@@ -199,7 +202,6 @@
     user = f'{conn.session.username}@%'
     return {
         'autocommit': '1' if session.autocommit else '0',
-        _TOKEN_VARIABLE: _token(conn),
         'database()': session.service,
         'schema()': session.service,
         'version()': variables.VERSION,
--- a/monsoonproxy/connections.py
+++ b/monsoonproxy/connections.py
@@ -171,7 +171,7 @@
             logger.exception('entry: a connection failed')
             self.stream.close()
         finally:
-            self._task = None
+            self._task = None  # type: ignore[assignment]
         self._go_on()
 
     def _go_on(self) -> None:
--- a/monsoonproxy/streams.py
+++ b/monsoonproxy/streams.py
@@ -158,10 +158,18 @@
         return payload
 
     def _drop(self, buffered: bytearray, end: int) -> None:
-        if len(buffered) == end:
-            self._input = None
-        else:
+        left = len(buffered) - end
+        if left:
             del buffered[:end]
+        else:
+            self._input = None
+        if left <= READ_AHEAD:
+            self._resume()
+
+    def _resume(self) -> None:
+        if self._paused and not self.closed:
+            self._paused = False
+            self.transport.resume_reading()
 
     def _check(self, size: int, sequence: int) -> None:
         if sequence != self._sequence:
@@ -176,9 +184,7 @@
             )
 
     async def _more(self) -> None:
-        if self._paused:
-            self._paused = False
-            self.transport.resume_reading()
+        self._resume()
         self._reader = asyncio.get_running_loop().create_future()
         try:
             await self._reader
--- a/monsoonproxy/variables.py
+++ b/monsoonproxy/variables.py
@@ -222,7 +222,7 @@
         {
             name: value
             for name, value in context.values.items()
-            if not name.endswith('()') and name != 'monsoonproxy_token'
+            if not name.endswith('()')
         }
     )
     names = sorted(known)
