--- a/tests/test_frontends.py
+++ b/tests/test_frontends.py
@@ -1,13 +1,30 @@
 """Tests of the MySQL protocol towards the callers."""
 
 import asyncio
-from collections.abc import AsyncIterator
+import re
+import struct
+from collections.abc import AsyncIterator, Callable
+from typing import Any
 
 import asyncmy
 import attrs
 import pymysql
+from hypothesis import given
+from hypothesis import strategies as st
 
-from monsoonproxy import frontends, messages, sessions, statements, tokens
+from monsoonproxy import (
+    bindings,
+    frontends,
+    identities,
+    messages,
+    packets,
+    sessions,
+    statements,
+    tokens,
+)
+from monsoonproxy.clock import Millis
+from monsoonproxy.models import Position
+from tests import wire
 from tests.fixtures import fixture, load_functions
 
 load_tests = load_functions(__name__)
@@ -32,10 +49,11 @@
 
 @attrs.define
 class FakeExecutor:
-    """Answers statements from a list of prepared answers."""
+    """Answers statements from prepared answers; ``None`` waits for ever."""
 
-    answers: dict[bytes, list[messages.Reply]] = attrs.Factory(dict)
-    seen: list[bytes] = attrs.Factory(list)
+    answers: dict[bytes, list[messages.Reply | None]] = attrs.Factory(dict)
+    seen: list[statements.Statement] = attrs.Factory(list)
+    events: asyncio.Queue[str] = attrs.Factory(asyncio.Queue)
 
     def known(self, service: str) -> bool:
         return service.startswith('hire')
@@ -43,15 +61,26 @@
     async def execute(
         self, session: sessions.Session, statement: statements.Statement
     ) -> AsyncIterator[messages.Reply]:
-        self.seen.append(statement.sql)
-        for reply in self.answers.get(statement.sql, [_end()]):
-            yield reply
+        self.seen.append(statement)
+        inside = session.in_transaction
+        if statement.kind.value in {'begin', 'commit', 'rollback'}:
+            inside = statement.kind.value == 'begin'
+        default = _end(in_transaction=inside)
+        for reply in self.answers.get(statement.sql, [default]):
+            if reply is None:
+                await asyncio.Event().wait()
+            else:
+                yield reply
 
     def cancel(self, session: sessions.Session) -> None:
-        self.seen.append(b'cancel')
+        self.events.put_nowait('cancel')
 
     async def close(self, session: sessions.Session) -> None:
-        self.seen.append(b'close')
+        self.events.put_nowait('close')
+
+    def texts(self) -> list[bytes]:
+        """Return the statements run so far."""
+        return [statement.sql for statement in self.seen]
 
 
 @attrs.define
@@ -60,12 +89,35 @@
     frontend: frontends.Frontend
     port: int
 
+    async def raw(self, database: bytes = b'hire') -> wire.RawCaller:
+        """Log in a raw caller."""
+        caller = await wire.RawCaller.connect(self.port)
+        assert (await caller.log_in(database))[0] == 0
+        return caller
+
+    async def ask(self, caller: wire.RawCaller, sql: bytes) -> bytes:
+        """Send a text statement."""
+        return await caller.ask(b'\x03' + sql)
+
+    async def in_thread(self, call: Callable[..., Any], **options: Any) -> Any:
+        """Call a function with a PyMySQL connection in a thread."""
+        arguments: dict = {'user': 'hire', 'autocommit': None, **options}
+
+        def run() -> Any:
+            with pymysql.connect(
+                host='127.0.0.1', port=self.port, **arguments
+            ) as conn:
+                return call(conn)
+
+        return await asyncio.wait_for(asyncio.to_thread(run), 30)
+
 
 @fixture
 async def running() -> AsyncIterator[Running]:
     executor = FakeExecutor()
     signer = tokens.Signer([tokens.Key('k1', _SECRET)])
-    frontend = frontends.Frontend(executor, signer)
+    limits = frontends.Limits(packet=1 << 20, handshake=300, linger=5000)
+    frontend = frontends.Frontend(executor, signer, limits=limits)
     port = await frontend.start('127.0.0.1', 0)
     yield Running(executor, frontend, port)
     frontend.stop_accepting()
@@ -91,14 +143,287 @@
 
 async def test_insert(running: Running) -> None:
     """Guards against an OK packet without its numbers."""
-    running.executor.answers[b'INSERT a'] = [_end(affected_rows=3, insert_id=7)]
+    running.executor.answers[b'INSERT a'] = [
+        _end(affected_rows=300, insert_id=7, in_transaction=True)
+    ]
 
-    def call() -> tuple[int, int]:
-        conn = pymysql.connect(
-            host='127.0.0.1', port=running.port, user='hire', autocommit=None
-        )
+    def call(conn: pymysql.Connection) -> tuple[int, ...]:
         with conn.cursor() as cursor:
             cursor.execute('INSERT a')
-            return cursor.rowcount, cursor.lastrowid
+            return cursor.rowcount, cursor.lastrowid, conn.server_status
+
+    assert await running.in_thread(call) == (300, 7, 3)
+
+
+async def test_binary_rows(running: Running) -> None:
+    """Guards against a value that the binary protocol changes."""
+    cells = {
+        (0x01, 0): (b'-5', b'\xfb'),
+        (0x08, 0x20): (b'18446744073709551615', b'\xff' * 8),
+        (0x05, 0): (b'0.1', struct.pack('<d', 0.1)),
+        (0x0C, 0): (b'2026-12-04 00:00:00', b'\x04\xea\x07\x0c\x04'),
+        (0x0A, 0): (b'0000-00-00', b'\x00'),
+        (0x0B, 0): (
+            b'-25:00:01.5',
+            b'\x0c\x01\x01\x00\x00\x00\x01\x00\x01\x20\xa1\x07\x00',
+        ),
+        (0xFC, 0): (b'\x00\xff', b'\x02\x00\xff'),
+    }
+    columns = [messages.Column('a', code, 63, flag) for code, flag in cells]
+    row: messages.Row = [text for text, _packed in cells.values()]
+    running.executor.answers[b'SELECT a'] = [
+        messages.ResultHeader(1, [*columns, columns[0]]),
+        messages.ResultRows(1, 0, [[*row, None]]),
+        _end(row_messages=1),
+    ]
+    caller = await running.raw()
+    number = await caller.prepare(b'SELECT a')
+    assert await caller.execute(number, []) == b'\x08'
+    for _ in range(9):
+        await caller.read()
+    packed = b''.join(packed for _text, packed in cells.values())
+    assert await caller.read() == b'\x00\x00\x02' + packed
+
+
+@given(st.binary(max_size=300), st.text(max_size=50), st.integers(0, 2**64 - 1))
+def test_parameters(blob: bytes, text: str, number: int) -> None:
+    """Guards against a parameter that changes on its way into the text."""
+    raw = text.encode()
+    fields = b''.join(
+        (
+            packets.length_prefixed(blob),
+            packets.length_prefixed(raw),
+            number.to_bytes(8, 'little'),
+        )
+    )
+    head = b'\x00\x01\x00\x00\x00\x08\x01\xfc\x00\xfd\x00\x08\x80\x06\x00'
+    prepared = bindings.Prepared(statements.split(b"S '?' ?,?,?,?"))
+    sql, _ = bindings.read_execution(
+        bindings.Reader(head + fields), prepared, with_attributes=False
+    )
+    binary = b"_binary X'%b'" % blob.hex().encode()
+    start = b"S '?' " + binary + b",'"
+    end = b"',%d,NULL" % number
+    assert sql.startswith(start)
+    assert sql.endswith(end)
+    escaped = sql[len(start) : -len(end)]
+    plain = {b'0': b'\x00', b'n': b'\n', b'r': b'\r', b'Z': b'\x1a'}
+    undone = re.sub(
+        rb'\\(.)', lambda match: plain.get(match[1], match[1]), escaped, 0, re.S
+    )
+    assert undone == raw
+    assert not re.search(rb"[\x00\n\r\x1a]|(?<!\\)(?:\\\\)*'", escaped)
+
+
+async def test_parameter_types(running: Running) -> None:
+    """Guards against dates, numbers and broken text that change."""
+    caller = await running.raw()
+    number = await caller.prepare(b'INSERT ' + b','.join([b'?'] * 7))
+    answer = await caller.execute(number, [
+        (0x05, struct.pack('<d', 1)),
+        (0x01, b'\xfe'),
+        (0x0C, b'\x07\xea\x07\x0c\x04\x01\x02\x03'),
+        (0x0B, b'\x08\x01\x01\x00\x00\x00\x02\x03\x04'),
+        (0xFD, b'\x01\xff'),
+        (0xF6, b'\x041.50'),
+        (0x08, None),
+    ])  # fmt: skip
+    assert answer[0] == 0
+    assert running.executor.texts() == [
+        b"INSERT 1.0e0,-2,'2026-12-04 01:02:03','-26:03:04',"
+        b"_binary X'ff',1.50,NULL"
+    ]
+
+
+async def test_partial_answer(running: Running) -> None:
+    """Guards against a partial answer that looks whole."""
+    column = messages.Column('a', 0xFD, 255, 0)
+    start = [
+        messages.ResultHeader(1, [column]),
+        messages.ResultRows(1, 0, [[b'x']]),
+    ]
+    ends = {
+        b'SELECT a': (messages.Failure(1, 1205, 'HY000', 'lock'), 1205),
+        b'SELECT b': (messages.Refusal(1, 'busy', 7), 4100),
+        b'SELECT c': (messages.Unknown(1, 'gone'), 4101),
+        b'SELECT d': (_end(row_messages=2), 4101),
+    }
+    caller = await running.raw()
+    for sql, (end, code) in ends.items():
+        running.executor.answers[sql] = [*start, end]
+        await running.ask(caller, sql)
+        packets_read = [await caller.read() for _ in range(4)]
+        assert wire.error_code(packets_read[-1]) == code, sql
+    running.executor.answers[b'SELECT e'] = start[:1]
+    await running.ask(caller, b'SELECT e')
+    packets_read = [await caller.read() for _ in range(3)]
+    assert b'outcome unknown' in packets_read[-1]
+    running.executor.answers[b'INSERT'] = [messages.Refusal(1, 'busy', 7)]
+    answer = await running.ask(caller, b'INSERT')
+    assert answer.endswith(b'#HY000not run: busy; come back after 7 ms')
+
+
+async def test_caller_goes(running: Running) -> None:
+    """Guards against work that goes on for a caller that has gone."""
+    column = messages.Column('a', 0xFD, 255, 0)
+    big = messages.ResultRows(1, 0, [[b'x' * 100_000]] * 10)
+    running.executor.answers[b'SELECT a'] = [
+        messages.ResultHeader(1, [column]), *([big] * 100),
+    ]  # fmt: skip
+    running.executor.answers[b'SELECT b'] = [None]
+    for sql in (b'SELECT a', b'SELECT b'):
+        caller = await running.raw()
+        caller.send(b'\x03' + sql)
+        while running.executor.texts()[-1:] != [sql]:
+            await asyncio.sleep(0)
+        caller.writer.transport.abort()
+        events = [await running.executor.events.get() for _ in range(2)]
+        assert events == ['cancel', 'close']
+    assert not running.frontend.connections
+
+
+async def test_bad_callers(running: Running) -> None:
+    """Guards against a bad caller that disturbs others or gets no error."""
+    good = await running.raw()
+    for payload, code in (
+        (b'x', 1835),
+        (b'\x00' * 40, 1043),
+        (b'u' * 40, 1043),
+    ):
+        caller = await wire.RawCaller.connect(running.port)
+        await caller.read()
+        caller.send(payload, 1)
+        assert wire.error_code(await caller.read()) == code, payload
+        assert await caller.closed()
+    silent = await wire.RawCaller.connect(running.port)
+    await silent.read()
+    assert wire.error_code(await silent.read()) == 1159
+    stranger = await wire.RawCaller.connect(running.port)
+    assert wire.error_code(await stranger.log_in(b'other')) == 1049
+    large = await running.raw()
+    large.writer.write(b'\xff\xff\xff\x00')
+    assert wire.error_code(await large.read()) == 1153
+    assert await large.closed()
+    assert (await running.ask(good, b'INSERT'))[0] == 0
+
+
+async def test_refused_requests(running: Running) -> None:
+    """Guards against a caller's mistake that runs or ends the session."""
+    other = tokens.Signer([tokens.Key('k1', b'x' * 32)])
+    forged = other.sign('hire', Position(1, 1), Millis(0)).encode()
+    caller = await running.raw()
+    for sql, code in (
+        (b"SELECT a /* max_age_ms='x' */", 4102),
+        (b"SET @@monsoonproxy_token = 'x'", 4103),
+        (b"SELECT a /* token='%b' */" % forged.replace(b'=', b'%3D'), 4103),
+        (b'USE other', 1049),
+        (b'SET sql_mode = ANSI', 1235),
+        (b'KILL 5', 1235),
+        (b' ', 1065),
+    ):
+        assert wire.error_code(await running.ask(caller, sql)) == code, sql
+    assert wire.error_code(await caller.ask(b'\x02other')) == 1049
+    assert wire.error_code(await caller.ask(b'\x99')) == 1047
+    assert running.executor.texts() == []
+    assert (await running.ask(caller, b'INSERT'))[0] == 0
+
+
+async def test_token(running: Running) -> None:
+    """Guards against a session that loses its floor on another proxy."""
+    running.executor.answers[b'INSERT'] = [_end(floor=(3, 40))]
+
+    def write(conn: pymysql.Connection) -> str:
+        with conn.cursor() as cursor:
+            cursor.execute('SELECT @@monsoonproxy_token')
+            assert cursor.fetchone() == (None,)
+            cursor.execute('INSERT')
+            cursor.execute('SELECT @@monsoonproxy_token')
+            return cursor.fetchone()[0]
+
+    token = await running.in_thread(write)
+    conn = await asyncmy.connect(
+        host='127.0.0.1', port=running.port, user='hire', autocommit=None
+    )
+    async with conn.cursor() as cursor:
+        await cursor.execute('SET @@monsoonproxy_token = %s', (token,))
+    (connection,) = running.frontend.connections
+    assert connection.state.floor == Position(3, 40)
+    await conn.ensure_closed()
+
+
+async def test_transactions(running: Running) -> None:
+    """Guards against statements that lose their transaction."""
+
+    def call(conn: pymysql.Connection) -> None:
+        with conn.cursor() as cursor:
+            cursor.execute('SELECT a')
+            conn.commit()
+            conn.commit()
+            conn.begin()
+            cursor.execute('DROP TABLE a')
+            conn.begin()
+            cursor.execute('SET autocommit = 1')
+            cursor.execute('SELECT b')
+
+    await running.in_thread(call, autocommit=False)
+    assert running.executor.texts() == [
+        b'BEGIN', b'SELECT a', b'COMMIT', b'BEGIN', b'COMMIT',
+        b'DROP TABLE a', b'BEGIN', b'COMMIT', b'SELECT b',
+    ]  # fmt: skip
+
+
+async def test_reset(running: Running) -> None:
+    """Guards against a transaction that survives a reset."""
+    caller = await running.raw()
+    change = b'\x11u\x00\x00hire-2\x00\x2d\x00mysql_native_password\x00'
+    for command in (b'\x1f', change):
+        await running.ask(caller, b'BEGIN')
+        answer = await caller.ask(command)
+        assert answer[:5] == b'\x00\x00\x00\x02\x00'
+        assert await running.executor.events.get() == 'close'
+    (connection,) = running.frontend.connections
+    assert connection.state.service == 'hire-2'
+
+
+async def test_passwords(running: Running) -> None:
+    """Guards against a caller that goes on without the right password."""
+    running.frontend.identities = identities.Identities({'hire': 'secret'})
+
+    def call(_conn: pymysql.Connection) -> str:
+        return 'accepted'
+
+    assert await running.in_thread(call, password='secret') == 'accepted'
+    for options in ({'password': 'x'}, {}, {'user': 'hire-2'}):
+        try:
+            await running.in_thread(call, **options)
+        except pymysql.err.OperationalError as exc:
+            assert exc.args[0] == 1045
+        else:
+            raise AssertionError(options)
+    caller = await wire.RawCaller.connect(running.port)
+    assert wire.error_code(await caller.log_in(b'hire')) == 1045
+    assert await caller.closed()
+
+
+async def test_drain(running: Running) -> None:
+    """Guards against a shutdown that interrupts a transaction."""
+    idle, busy = await running.raw(), await running.raw()
+    await running.ask(busy, b'BEGIN')
+    drained = asyncio.create_task(running.frontend.drain())
+    assert b'not run: the proxy is shutting down' in await idle.read()
+    assert (await running.ask(busy, b'INSERT'))[0] == 0
+    assert not drained.done()
+    assert (await running.ask(busy, b'COMMIT'))[0] == 0
+    assert wire.error_code(await busy.read()) == 4100
+    for caller in (idle, busy):
+        caller.writer.close()
+    await drained
+
 
-    assert await asyncio.to_thread(call) == (3, 7)
+async def test_connection_limit(running: Running) -> None:
+    """Guards against more connections than the limit."""
+    running.frontend.limits = frontends.Limits(connections=1)
+    first = await running.raw()
+    second = await wire.RawCaller.connect(running.port)
+    assert wire.error_code(await second.read()) == 1040
+    assert (await running.ask(first, b'INSERT'))[0] == 0
