--- a/monsoonproxy/connections.py
+++ b/monsoonproxy/connections.py
@@ -153,8 +153,9 @@
             self._start_task(self._say_goodbye())
 
     def abort(self) -> None:
-        """Close the connection at once."""
-        self.stream.close()
+        """Close the connection at once, whether or not the caller reads."""
+        self.stream.closing = True
+        self.stream.transport.abort()
 
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         self._task = asyncio.get_running_loop().create_task(self._guard(work))
@@ -188,8 +189,8 @@
         if task is not None:
             task.cancel()
             await asyncio.wait((task,))
-        self.frontend.connections.discard(self)
         await self.frontend.executor.close(self.state)
+        self.frontend.connections.discard(self)
 
     # The handshake.
 
