--- a/emulator/measure_frontend.py
+++ b/emulator/measure_frontend.py
@@ -141,13 +141,13 @@
     callers = await _connect(port, _CALLERS, _STATEMENTS // _CALLERS)
     pipe.send('connected')
     await asyncio.to_thread(pipe.recv)
-    await _run_all(callers)
-    pipe.send('answered')
-    await asyncio.to_thread(pipe.recv)
     idle = await _connect(port, _IDLE, 1)
     await _run_all(idle)
     pipe.send('idle')
     await asyncio.to_thread(pipe.recv)
+    await _run_all(callers)
+    pipe.send('answered')
+    await asyncio.to_thread(pipe.recv)
 
 
 def _callers(port: int, pipe: Any) -> None:
@@ -179,12 +179,13 @@
     process = context.Process(target=_callers, args=(port, other), daemon=True)
     process.start()
     await asyncio.to_thread(pipe.recv)
-    wall, cpu = time.perf_counter(), time.process_time()
-    await _step(pipe)
-    wall, cpu = time.perf_counter() - wall, time.process_time() - cpu
+    # Memory comes first: nothing freed earlier may be used again.
     before = _resident()
     await _step(pipe)
     grown = _resident() - before
+    wall, cpu = time.perf_counter(), time.process_time()
+    await _step(pipe)
+    wall, cpu = time.perf_counter() - wall, time.process_time() - cpu
     frontend.stop_accepting()
     frontend.abort()
     pipe.send('end')
--- a/monsoonproxy/binaries.py
+++ b/monsoonproxy/binaries.py
@@ -11,16 +11,16 @@
 
 _UNSIGNED = 0x20
 _INTEGERS: dict[int, str] = {
-    0x01: '<b',
-    0x02: '<h',
-    0x03: '<i',
-    0x08: '<q',
-    0x09: '<i',
-    0x0D: '<H',
+    1: '<b',
+    2: '<h',
+    3: '<i',
+    8: '<q',
+    9: '<i',
+    13: '<H',
 }
-_FLOATS: dict[int, str] = {0x04: '<f', 0x05: '<d'}
-_DATES = frozenset((0x07, 0x0A, 0x0C))
-_TIME = 0x0B
+_FLOATS = {4: struct.Struct('<f'), 5: struct.Struct('<d')}
+_DATES = frozenset((7, 10, 12))
+_TIME = 11
 _HOURS = 24
 _DATE_TEXT = re.compile(
     rb'(\d+)-(\d+)-(\d+)(?:[ T](\d+):(\d+):(\d+)(?:\.(\d{1,6}))?)?'
@@ -63,14 +63,15 @@
 
 def _converter(column: messages.Column) -> _Convert:
     code = column.type_code
-    if code in _INTEGERS:
-        layout = _INTEGERS[code]
+    integer = _INTEGERS.get(code)
+    if integer is not None:
         if column.flags & _UNSIGNED:
-            layout = layout.upper()
-        return lambda cell: struct.pack(layout, int(cell))
+            integer = integer.upper()
+        whole = struct.Struct(integer)
+        return lambda cell: whole.pack(int(cell))
     if code in _FLOATS:
-        layout = _FLOATS[code]
-        return lambda cell: struct.pack(layout, float(cell))
+        real = _FLOATS[code]
+        return lambda cell: real.pack(float(cell))
     if code in _DATES:
         return _date
     return _time if code == _TIME else packets.length_prefixed
@@ -81,7 +82,7 @@
     if match is None:
         raise ValueError(f'not a date: {cell!r}')
     numbers = [int(part or 0) for part in match.groups()[:6]]
-    return _pack('<HBBBBB', (*numbers,), match[7], (0, 4, 7))
+    return _pack('<HBBBBB', tuple(numbers), match[7], (0, 4, 7))
 
 
 def _time(cell: bytes) -> bytes:
--- a/monsoonproxy/bindings.py
+++ b/monsoonproxy/bindings.py
@@ -22,23 +22,18 @@
     b"'": rb'\'',
 }
 _DECIMAL = re.compile(rb'[+-]?[0-9]{1,65}(?:\.[0-9]{1,30})?')
-_TEXTS = frozenset((0x0F, 0xF5, 0xF7, 0xF8, 0xFD, 0xFE))
+_TEXTS = frozenset((15, 0xF5, 0xF7, 0xF8, 0xFD, 0xFE))
 _BLOBS = frozenset((0x10, 0xF9, 0xFA, 0xFB, 0xFC, 0xFF))
-_DECIMALS = frozenset((0x00, 0xF6))
-_INTEGERS: dict[int, str] = {
-    0x01: 'b',
-    0x02: 'h',
-    0x03: 'i',
-    0x08: 'q',
-    0x09: 'i',
-    0x0D: 'h',
-    0xF4: 'b',
-}
-_FLOATS: dict[int, str] = {0x04: '<f', 0x05: '<d'}
-_DATES = frozenset((0x07, 0x0A, 0x0C))
-_TIME = 0x0B
-_NULL_TYPE = 0x06
-_COUNT_FLAG = 0x08
+_DECIMALS = frozenset((0, 0xF6))
+#: Sizes of integers in bytes.
+_INTEGERS: dict[int, int] = {1: 1, 2: 2, 3: 4, 8: 8, 9: 4, 13: 2, 0xF4: 1}
+_FLOATS = {4: struct.Struct('<f'), 5: struct.Struct('<d')}
+_DATES = frozenset((7, 10, 12))
+_TIME = 11
+_DATE = struct.Struct('<HBBBBBI')
+_DURATION = struct.Struct('<BIBBBI')
+_NULL_TYPE = 6
+_COUNT_FLAG = 8
 _LONG_SIZES: dict[int, int] = {0xFC: 2, 0xFD: 3, 0xFE: 8}
 _SHORT = 251
 
@@ -147,7 +142,8 @@
     """
     flags = reader.number(1)
     reader.take(4)
-    own = count = len(prepared.parts) - 1
+    own = len(prepared.parts) - 1
+    count = own
     if with_attributes and (own or flags & _COUNT_FLAG):
         count = reader.length()
     if count < own:
@@ -241,12 +237,15 @@
 def _read(reader: Reader, code: int, unsigned: bool) -> bytes:
     if code in _TEXTS or code in _BLOBS or code in _DECIMALS:
         return reader.take(reader.length())
-    if code in _INTEGERS:
-        letter = _INTEGERS[code]
-        layout = f'<{letter.upper() if unsigned else letter}'
-        return str(_unpack(reader, layout)).encode()
-    if code in _FLOATS:
-        return _float(_unpack(reader, _FLOATS[code]))
+    size = _INTEGERS.get(code)
+    if size is not None:
+        number = int.from_bytes(
+            reader.take(size), 'little', signed=not unsigned
+        )
+        return str(number).encode()
+    layout = _FLOATS.get(code)
+    if layout is not None:
+        return _float(*layout.unpack(reader.take(layout.size)))
     if code in _DATES:
         return _date(reader.take(reader.number(1)))
     if code == _TIME:
@@ -254,11 +253,6 @@
     raise StatementError(f'parameters of type {code} are not supported')
 
 
-def _unpack(reader: Reader, layout: str) -> float:
-    (number,) = struct.unpack(layout, reader.take(struct.calcsize(layout)))
-    return number  # type: ignore[no-any-return]
-
-
 def _float(number: float) -> bytes:
     text = repr(number)
     if text.lstrip('-') in {'inf', 'nan'}:
@@ -268,25 +262,22 @@
 
 
 def _date(packed: bytes) -> bytes:
-    padded = packed.ljust(11, b'\x00')
-    year, month, day, hour, minute, second, micros = struct.unpack(
-        '<HBBBBBI', padded[:11]
-    )
-    text = f'{year:04}-{month:02}-{day:02}'
+    fields = _DATE.unpack(packed.ljust(_DATE.size, b'\x00')[: _DATE.size])
+    text = '{0:04}-{1:02}-{2:02}'.format(*fields)
     if len(packed) > 4:
-        text = f'{text} {hour:02}:{minute:02}:{second:02}'
-    if len(packed) > 7:
-        text = f'{text}.{micros:06}'
-    return text.encode()
+        text += ' {0:02}:{1:02}:{2:02}'.format(*fields[3:])
+    return _with_micros(text, fields[-1])
 
 
 def _time(packed: bytes) -> bytes:
-    padded = packed.ljust(12, b'\x00')
-    negative, days, hour, minute, second, micros = struct.unpack(
-        '<BIBBBI', padded[:12]
+    fields = _DURATION.unpack(
+        packed.ljust(_DURATION.size, b'\x00')[: _DURATION.size]
     )
-    sign = '-' if negative else ''
-    text = f'{sign}{days * 24 + hour:02}:{minute:02}:{second:02}'
-    if len(packed) > 8:
-        text = f'{text}.{micros:06}'
-    return text.encode()
+    sign = '-' if fields[0] else ''
+    hours = fields[1] * 24 + fields[2]
+    text = '{0}{1:02}:{2:02}:{3:02}'.format(sign, hours, *fields[3:])
+    return _with_micros(text, fields[-1])
+
+
+def _with_micros(text: str, micros: int) -> bytes:
+    return (f'{text}.{micros:06}' if micros else text).encode()
