--- a/monsoonproxy/answers.py
+++ b/monsoonproxy/answers.py
@@ -1,7 +1,7 @@
 """Answers of the executor on their way to the caller."""
 
 import contextlib
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -16,7 +16,12 @@
 Encoders = Callable[[list[messages.Column]], binaries.Encoder]
 
 _ENDS = frozenset((StatementKind.COMMIT, StatementKind.ROLLBACK))
-_INTERNAL = messages.Unknown(0, 'internal error of the proxy')
+_LAST = (
+    messages.ResultEnd,
+    messages.Failure,
+    messages.Refusal,
+    messages.Unknown,
+)
 _BROKEN_OFF = messages.Unknown(0, 'the answer broke off')
 _ROWS_MISSING = messages.Unknown(0, 'rows of the answer are missing')
 
@@ -91,68 +96,93 @@
     statement: statements.Statement,
     encoders: Encoders,
 ) -> None:
-    encode: binaries.Encoder | None = None
-    count = 0
+    answer = _Answer(conn, encoders)
     async with contextlib.aclosing(_replies(conn, statement)) as replies:
         async for reply in replies:
             if isinstance(reply, messages.ResultHeader):
-                encode = encoders(reply.columns)
-                conn.stream.put(
-                    *packets.header(reply.columns, conn.status, conn.short_ends)
-                )
-            elif isinstance(reply, messages.ResultRows) and encode:
-                count += 1
-                conn.stream.put(*map(encode, reply.rows))
-                await conn.stream.drain_some()
+                answer.put_header(reply)
+            elif isinstance(reply, messages.ResultRows):
+                await answer.put_rows(reply)
             else:
-                _end(conn, reply, count if encode else None)
+                answer.put_end(reply)
+
+
+@attrs.define
+class _Answer:
+    """Encodes an answer into the caller's stream."""
+
+    conn: 'CallerConnection'
+    encoders: Encoders
+    encode: binaries.Encoder = packets.text_row
+    has_header: bool = False
+    row_messages: int = 0
+
+    def put_header(self, reply: messages.ResultHeader) -> None:
+        """Start a result with rows."""
+        self.has_header = True
+        self.encode = self.encoders(reply.columns)
+        conn = self.conn
+        conn.stream.put(
+            *packets.header(reply.columns, conn.status, conn.short_ends)
+        )
+
+    async def put_rows(self, reply: messages.ResultRows) -> None:
+        """Add rows, and wait while the caller reads too slowly."""
+        self.row_messages += 1
+        self.conn.stream.put(*map(self.encode, reply.rows))
+        await self.conn.stream.drain_some()
+
+    def put_end(self, reply: messages.Reply) -> None:
+        """End the answer and take over the state of the session."""
+        conn = self.conn
+        if isinstance(reply, messages.ResultEnd):
+            if reply.row_messages != self.row_messages:
+                reply = _ROWS_MISSING
+        conn.state.finish(reply)
+        if isinstance(reply, messages.ResultEnd):
+            conn.stream.put(self._success(reply))
+        else:
+            conn.stream.put(_error(reply))
+
+    def _success(self, reply: messages.ResultEnd) -> bytes:
+        status = self.conn.status
+        warnings = reply.warnings
+        if self.has_header:
+            return packets.end_of_rows(status, warnings, self.conn.short_ends)
+        return packets.ok(
+            status, reply.affected_rows, reply.insert_id, warnings
+        )
 
 
 async def _replies(
     conn: 'CallerConnection', statement: statements.Statement
 ) -> AsyncGenerator[messages.Reply, None]:
-    executor = conn.frontend.executor
-    replies = executor.execute(conn.state, statement)
-    ended = False
+    replies = conn.frontend.executor.execute(conn.state, statement)
+    last: messages.Reply | None = None
     try:
         async for reply in replies:
-            ended = not isinstance(
-                reply, (messages.ResultHeader, messages.ResultRows)
-            )
+            if isinstance(reply, _LAST):
+                last = reply
+                break
             yield reply
-            if ended:
-                return
-        ended = True
-        yield _BROKEN_OFF
     except Exception:
         logger.exception('entry: the executor failed')
-        ended = True
-        executor.cancel(conn.state)
-        yield _INTERNAL
     finally:
-        if not ended:
-            executor.cancel(conn.state)
-        close = getattr(replies, 'aclose', None)
-        if close is not None:
-            await close()
+        await _release(conn, replies, ended=last is not None)
+    yield last or _BROKEN_OFF
 
 
-def _end(
-    conn: 'CallerConnection', reply: messages.Reply, row_messages: int | None
+async def _release(
+    conn: 'CallerConnection',
+    replies: AsyncIterator[messages.Reply],
+    *,
+    ended: bool,
 ) -> None:
-    if isinstance(reply, messages.ResultEnd):
-        if reply.row_messages != (row_messages or 0):
-            reply = _ROWS_MISSING
-    conn.state.finish(reply)
-    if not isinstance(reply, messages.ResultEnd):
-        conn.stream.put(_error(reply))
-    elif row_messages is None:
-        numbers = (reply.affected_rows, reply.insert_id, reply.warnings)
-        conn.stream.put(packets.ok(conn.status, *numbers))
-    else:
-        conn.stream.put(
-            packets.end_of_rows(conn.status, reply.warnings, conn.short_ends)
-        )
+    if not ended:
+        conn.frontend.executor.cancel(conn.state)
+    close = getattr(replies, 'aclose', None)
+    if close is not None:
+        await close()
 
 
 def _error(reply: messages.Reply) -> bytes:
--- a/monsoonproxy/binaries.py
+++ b/monsoonproxy/binaries.py
@@ -69,8 +69,8 @@
             integer = integer.upper()
         whole = struct.Struct(integer)
         return lambda cell: whole.pack(int(cell))
-    if code in _FLOATS:
-        real = _FLOATS[code]
+    real = _FLOATS.get(code)
+    if real is not None:
         return lambda cell: real.pack(float(cell))
     if code in _DATES:
         return _date
--- a/monsoonproxy/bindings.py
+++ b/monsoonproxy/bindings.py
@@ -280,4 +280,6 @@
 
 
 def _with_micros(text: str, micros: int) -> bytes:
-    return (f'{text}.{micros:06}' if micros else text).encode()
+    if micros:
+        text = f'{text}.{micros:06}'
+    return text.encode()
--- /dev/null
+++ b/monsoonproxy/callers.py
@@ -0,0 +1,181 @@
+"""A caller: its session, its identity and its handshake."""
+
+from typing import TYPE_CHECKING, Any
+
+from mysql_mimic import packets as mimic
+from mysql_mimic.auth import AuthPlugin, AuthState
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.connection import Connection
+from mysql_mimic.control import Control
+from mysql_mimic.session import BaseSession
+from mysql_mimic.types import Capabilities, ServerStatus
+
+from monsoonproxy import bindings, handshakes, packets, sessions, variables
+from monsoonproxy.streams import (
+    ConnectionGoneError,
+    Owner,
+    PacketError,
+    PacketStream,
+)
+
+if TYPE_CHECKING:
+    from monsoonproxy.frontends import Frontend
+
+_CONTROL = Control()
+_NOTHING: dict[Any, Any] = {}
+
+
+class Identity(BaseSession):
+    """Who a caller is, as ``mysql_mimic`` stores it."""
+
+    username: str | None = None
+    database: str | None = None
+
+
+class Caller(Connection):
+    """The server side of one connection, without its tasks.
+
+    :param frontend: The frontend that accepted the connection.
+    :param owner: Is told what happens on the stream.
+    """
+
+    def __init__(self, frontend: 'Frontend', owner: Owner) -> None:
+        super().__init__(
+            stream=PacketStream(owner, frontend.limits.packet),
+            session=Identity(),
+            control=_CONTROL,
+            identity_provider=frontend.identities,
+            server_capabilities=packets.CAPABILITIES,
+            ssl=frontend.ssl,
+        )
+        self.frontend = frontend
+        self.state = sessions.Session(next(frontend.numbers), '')
+        self.connection_id = self.state.number & 0xFFFFFFFF
+        self.prepared: dict[int, bindings.Prepared] = {}
+        self.last_prepared = 0
+        # Not used: the handshake's attributes would take most of the memory
+        # of an idle connection.
+        self.client_connect_attrs = _NOTHING
+        self.prepared_stmts = _NOTHING
+
+    @property
+    def server_charset(self) -> CharacterSet:
+        """The character set of names and messages.
+
+        :returns: Always ``utf8mb4``.
+        """
+        return CharacterSet.utf8mb4
+
+    @property
+    def client_charset(self) -> CharacterSet:
+        """The character set of statements.
+
+        :returns: Always ``utf8mb4``.
+        """
+        return CharacterSet.utf8mb4
+
+    @property
+    def short_ends(self) -> bool:
+        """Whether results end without EOF packets.
+
+        :returns: What the caller asked for in the handshake.
+        """
+        return Capabilities.CLIENT_DEPRECATE_EOF in self.capabilities
+
+    @property
+    def status(self) -> int:
+        """The status flags of the session.
+
+        :returns: The flags.
+        """
+        return packets.status_flags(
+            self.state.in_transaction, self.state.autocommit
+        )
+
+    def fail(self, code: int, sqlstate: str, text: str) -> None:
+        """Answer with an error.
+
+        :param code: The error code.
+        :param sqlstate: The SQLSTATE.
+        :param text: The message.
+        """
+        self.stream.put(packets.error(code, sqlstate, text))
+
+    async def connection_phase(self) -> None:
+        """Negotiate the connection and authenticate the caller."""
+        plugin = self.identity_provider.get_default_plugin()
+        nonce, auth_state = await plugin.start()
+        self.handshake_auth_data = nonce
+        self.handshake_auth_plugin = plugin.name
+        await self.stream.write(
+            mimic.make_handshake_v10(
+                capabilities=self.server_capabilities,
+                server_charset=self.server_charset,
+                server_version=variables.VERSION,
+                connection_id=self.connection_id,
+                auth_data=nonce,
+                status_flags=ServerStatus(self.status),
+                auth_plugin_name=plugin.name,
+            )
+        )
+        content = await self.stream.read()
+        if handshakes.wants_tls(content):
+            if self.ssl is None:
+                raise PacketError(1043, 'TLS is not offered')
+            await self.stream.start_tls(self.ssl)
+            content = await self.stream.read()
+        login = handshakes.read_login(self.server_capabilities, content)
+        self.capabilities = login.capabilities
+        await self._log_in(login, auth_state, plugin)
+
+    async def change_user(self, content: bytes) -> None:
+        """Authenticate as another user and start a new session.
+
+        :param content: The packet after the command byte.
+        """
+        login = handshakes.read_change(self.capabilities, content)
+        await self.renew(login.service)
+        await self._log_in(login)
+
+    async def renew(self, service: str) -> None:
+        """End the session and start another one.
+
+        :param service: Service of the new session.
+        """
+        old = self.state
+        self.state = old.renew(next(self.frontend.numbers), service)
+        self.prepared = {}
+        await self.frontend.executor.close(old)
+
+    async def _log_in(
+        self,
+        login: handshakes.Login,
+        auth_state: AuthState | None = None,
+        plugin: AuthPlugin | None = None,
+    ) -> None:
+        self.state.service = login.service
+        self.session.username = None
+        await self.authenticate(
+            auth_state=auth_state,
+            server_plugin=plugin,
+            username=login.username,
+            client_plugin_name=login.plugin,
+            auth_response=login.response,
+            connect_attrs=_NOTHING,
+        )
+        # mysql-mimic goes on after a wrong password.
+        if self.session.username is None:
+            raise ConnectionGoneError('the caller was not accepted')
+        self.stream.reset_seq()
+
+    def ok(self, **kwargs: Any) -> bytes:
+        """Encode the answer to a successful authentication.
+
+        :param kwargs: Not used.
+        :returns: An OK packet, or an ERR packet if there is no such service.
+        """
+        service = self.state.service
+        if self.frontend.executor.known(service):
+            return packets.ok(self.status)
+        self.session.username = None
+        return packets.unknown_service(service)
--- a/monsoonproxy/commands.py
+++ b/monsoonproxy/commands.py
@@ -199,7 +199,8 @@
 
 def _values(conn: 'CallerConnection') -> dict[str, str | None]:
     session = conn.state
-    user = f'{conn.session.username}@%'
+    name = conn.session.username
+    user = f'{name}@%'
     return {
         'autocommit': '1' if session.autocommit else '0',
         'database()': session.service,
@@ -249,7 +250,7 @@
 
 async def _set_autocommit(conn: 'CallerConnection', text: str) -> bool:
     if text not in _ON and text not in _OFF:
-        raise StatementError(f'autocommit is on or off, not {text[:64]!r}')
+        raise StatementError('autocommit is either on or off')
     session = conn.state
     if text in _ON and not session.autocommit and session.in_transaction:
         if not await answers.control(conn, StatementKind.COMMIT):
@@ -268,7 +269,7 @@
 
 async def _use(conn: 'CallerConnection', service: str) -> None:
     if not conn.frontend.executor.known(service):
-        conn.fail(1049, '42000', f'Unknown database {service[:64]!r}')
+        conn.stream.put(packets.unknown_service(service))
         return
     if service != conn.state.service:
         if conn.state.in_transaction:
--- a/monsoonproxy/connections.py
+++ b/monsoonproxy/connections.py
@@ -1,4 +1,4 @@
-"""One caller's connection."""
+"""The tasks of one caller's connection."""
 
 import asyncio
 import contextlib
@@ -6,60 +6,35 @@
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
-from mysql_mimic import packets as mimic
-from mysql_mimic.auth import AuthPlugin, AuthState
-from mysql_mimic.charset import CharacterSet
-from mysql_mimic.connection import Connection
-from mysql_mimic.control import Control
-from mysql_mimic.errors import MysqlError
-from mysql_mimic.session import BaseSession
-from mysql_mimic.types import Capabilities, ServerStatus
 
-from monsoonproxy import (
-    bindings,
-    commands,
-    handshakes,
-    packets,
-    sessions,
-    variables,
-)
+from monsoonproxy import commands, packets
+from monsoonproxy.callers import Caller
 from monsoonproxy.exceptions import (
     MarksError,
     MonsoonError,
     StatementError,
     TokenError,
 )
-from monsoonproxy.streams import (
-    ConnectionGoneError,
-    PacketError,
-    PacketStream,
-)
+from monsoonproxy.streams import ConnectionGoneError, PacketError
 
 if TYPE_CHECKING:
     from monsoonproxy.frontends import Frontend
 
-_CONTROL = Control()
-_NOTHING: dict[Any, Any] = {}
-_SERVER_LEAVING = 'the proxy is shutting down'
 _LEAVING = packets.error(
-    4100, 'HY000', f'not run: {_SERVER_LEAVING}; come back after 0 ms'
+    4100,
+    'HY000',
+    'not run: the proxy is shutting down; come back after 0 ms',
 )
-_CODES: tuple[tuple[type[MonsoonError], int, str], ...] = (
-    (MarksError, 4102, 'HY000'),
-    (TokenError, 4103, 'HY000'),
-    (StatementError, 1235, '42000'),
-)
-
+_Code = tuple[int, str]
+_CODES: dict[type[MonsoonError], _Code] = {
+    MarksError: (4102, 'HY000'),
+    TokenError: (4103, 'HY000'),
+    StatementError: (1235, '42000'),
+}
 
-class Identity(BaseSession):
-    """Who a caller is, as ``mysql_mimic`` stores it."""
 
-    username: str | None = None
-    database: str | None = None
-
-
-class CallerConnection(Connection):
-    """The server side of one connection.
+class CallerConnection(Caller):
+    """Serves one connection.
 
     It has a task only while it has a command in work.
 
@@ -67,58 +42,8 @@
     """
 
     def __init__(self, frontend: 'Frontend') -> None:
-        super().__init__(
-            stream=PacketStream(self, frontend.limits.packet),
-            session=Identity(),
-            control=_CONTROL,
-            identity_provider=frontend.identities,
-            server_capabilities=packets.CAPABILITIES,
-            ssl=frontend.ssl,
-        )
-        self.frontend = frontend
-        self.state = sessions.Session(next(frontend.numbers), '')
-        self.connection_id = self.state.number & 0xFFFFFFFF
-        self.prepared: dict[int, bindings.Prepared] = {}
-        self.last_prepared = 0
+        super().__init__(frontend, self)
         self._leaving = False
-        # Not used: the handshake's attributes would take most of the memory
-        # of an idle connection.
-        self.client_connect_attrs = _NOTHING
-        self.prepared_stmts = _NOTHING
-
-    @property
-    def server_charset(self) -> CharacterSet:
-        """The character set of names and messages.
-
-        :returns: Always ``utf8mb4``.
-        """
-        return CharacterSet.utf8mb4
-
-    @property
-    def client_charset(self) -> CharacterSet:
-        """The character set of statements.
-
-        :returns: Always ``utf8mb4``.
-        """
-        return CharacterSet.utf8mb4
-
-    @property
-    def short_ends(self) -> bool:
-        """Whether results end without EOF packets.
-
-        :returns: What the caller asked for in the handshake.
-        """
-        return Capabilities.CLIENT_DEPRECATE_EOF in self.capabilities
-
-    @property
-    def status(self) -> int:
-        """The status flags of the session.
-
-        :returns: The flags.
-        """
-        return packets.status_flags(
-            self.state.in_transaction, self.state.autocommit
-        )
 
     # Events of the stream.
 
@@ -163,10 +88,9 @@
     async def _guard(self, work: Coroutine[Any, Any, None]) -> None:
         try:
             await work
-        except ConnectionGoneError:
-            self.stream.close()
-        except PacketError as exc:
-            self.fail(exc.code, '08S01', str(exc))
+        except MonsoonError as exc:
+            if isinstance(exc, PacketError):
+                self.fail(exc.code, '08S01', str(exc))
             self.stream.close()
         except Exception:
             logger.exception('entry: a connection failed')
@@ -202,87 +126,6 @@
             self.fail(1159, '08S01', 'the handshake took too long')
             self.stream.close()
 
-    async def connection_phase(self) -> None:
-        """Negotiate the connection and authenticate the caller."""
-        plugin = self.identity_provider.get_default_plugin()
-        nonce, auth_state = await plugin.start()
-        self.handshake_auth_data = nonce
-        self.handshake_auth_plugin = plugin.name
-        await self.stream.write(
-            mimic.make_handshake_v10(
-                capabilities=self.server_capabilities,
-                server_charset=self.server_charset,
-                server_version=variables.VERSION,
-                connection_id=self.connection_id,
-                auth_data=nonce,
-                status_flags=ServerStatus(self.status),
-                auth_plugin_name=plugin.name,
-            )
-        )
-        content = await self.stream.read()
-        if handshakes.wants_tls(content):
-            if self.ssl is None:
-                raise PacketError(1043, 'TLS is not offered')
-            await self.stream.start_tls(self.ssl)
-            content = await self.stream.read()
-        login = handshakes.read_login(self.server_capabilities, content)
-        self.capabilities = login.capabilities
-        await self._log_in(login, auth_state, plugin)
-
-    async def change_user(self, content: bytes) -> None:
-        """Authenticate as another user and start a new session.
-
-        :param content: The packet after the command byte.
-        """
-        login = handshakes.read_change(self.capabilities, content)
-        await self.renew(login.service)
-        await self._log_in(login)
-
-    async def renew(self, service: str) -> None:
-        """End the session and start another one.
-
-        :param service: Service of the new session.
-        """
-        old = self.state
-        self.state = old.renew(next(self.frontend.numbers), service)
-        self.prepared = {}
-        await self.frontend.executor.close(old)
-
-    async def _log_in(
-        self,
-        login: handshakes.Login,
-        auth_state: AuthState | None = None,
-        plugin: AuthPlugin | None = None,
-    ) -> None:
-        self.state.service = login.service
-        self.session.username = None
-        await self.authenticate(
-            auth_state=auth_state,
-            server_plugin=plugin,
-            username=login.username,
-            client_plugin_name=login.plugin,
-            auth_response=login.response,
-            connect_attrs=_NOTHING,
-        )
-        # mysql-mimic goes on after a wrong password.
-        if self.session.username is None:
-            raise ConnectionGoneError('the caller was not accepted')
-        self.stream.reset_seq()
-
-    def ok(self, **kwargs: Any) -> bytes:
-        """Encode the answer to a successful authentication.
-
-        :param kwargs: Not used.
-        :returns: An OK packet, or an ERR packet if there is no such service.
-        """
-        service = self.state.service
-        if self.frontend.executor.known(service):
-            return packets.ok(self.status)
-        self.session.username = None
-        return packets.error(
-            1049, '42000', f'Unknown database {service[:64]!r}'
-        )
-
     # Commands.
 
     async def _serve(self) -> None:
@@ -300,28 +143,14 @@
             raise
         except MonsoonError as exc:
             self._refuse(exc)
-        except MysqlError as exc:
-            self.fail(exc.code, '42000', exc.msg)
         except Exception:
             logger.exception('entry: a command failed')
             self.fail(1105, 'HY000', 'internal error of the proxy')
         await self.stream.drain()
 
     def _refuse(self, exc: MonsoonError) -> None:
-        for kind, code, sqlstate in _CODES:
-            if isinstance(exc, kind):
-                self.fail(code, sqlstate, str(exc))
-                return
-        self.fail(1105, 'HY000', str(exc))
-
-    def fail(self, code: int, sqlstate: str, text: str) -> None:
-        """Answer with an error.
-
-        :param code: The error code.
-        :param sqlstate: The SQLSTATE.
-        :param text: The message.
-        """
-        self.stream.put(packets.error(code, sqlstate, text))
+        code, sqlstate = _CODES.get(type(exc), (1105, 'HY000'))
+        self.fail(code, sqlstate, str(exc))
 
     async def _say_goodbye(self) -> None:
         # The caller may be sending a request right now. It reads this packet
--- a/monsoonproxy/identities.py
+++ b/monsoonproxy/identities.py
@@ -44,7 +44,9 @@
             auth.NativePasswordAuthPlugin() if users else OpenPlugin(),
         ]
 
-    def get_plugins(self) -> Sequence[auth.AuthPlugin]:
+    def get_plugins(  # noqa: WPS615 - the name is given by mysql-mimic
+        self,
+    ) -> Sequence[auth.AuthPlugin]:
         """Return the authentication plugins.
 
         :returns: The only one.
--- a/monsoonproxy/marks.py
+++ b/monsoonproxy/marks.py
@@ -1,9 +1,9 @@
 """Marks of requests, from comments and query attributes."""
 
 import re
-import urllib.parse
 from collections.abc import Callable, Mapping
 from typing import Any
+from urllib.parse import unquote_to_bytes
 
 import attrs
 
@@ -15,6 +15,9 @@
 #: Longest deadline in ms. A shutdown lasts at most 30,000 ms, of which the
 #: last 5,000 are for transactions; every request has to end before that.
 MAX_DEADLINE = 25_000
+_Reader = Callable[[str], Any]
+_Field = tuple[str, _Reader]
+
 _NUMBER = re.compile('[0-9]{1,9}')
 _REQUEST_ID = re.compile('[!-~]{1,128}')
 _CLASS = re.compile('[A-Za-z][A-Za-z0-9_-]{0,31}')
@@ -57,7 +60,7 @@
 
 
 #: The field of :class:`Marks` and the reader of each key.
-KEYS: dict[str, tuple[str, Callable[[str], Any]]] = {
+KEYS: dict[str, _Field] = {
     'max_age_ms': ('max_age', _number(0, MAX_AGE)),
     'deadline_ms': ('deadline', _number(1, MAX_DEADLINE)),
     'repeatable': ('repeatable', _flag),
@@ -98,7 +101,8 @@
     try:
         return field, reader(text)
     except ValueError as exc:
-        raise MarksError(f'mark {key}: {text[:64]!r} is {exc}') from None
+        shown = text[:64]
+        raise MarksError(f'mark {key}: {shown!r} is {exc}') from None
 
 
 def _read(key: str, text: bytes) -> tuple[str, Any]:
@@ -117,14 +121,15 @@
     end = 0
     while match := _PAIR.match(body, end):
         end = match.end()
-        key = urllib.parse.unquote_to_bytes(match[1]).decode(errors='replace')
+        key = unquote_to_bytes(match[1]).decode(errors='replace')
         if key in KEYS:
-            found[key] = urllib.parse.unquote_to_bytes(_unescape(match[2]))
+            found[key] = unquote_to_bytes(_unescape(match[2]))
     malformed = _BARE.search(body[end:])
     if malformed is not None:
-        raise MarksError(f'mark {malformed[1].decode()}: not a quoted value')
+        name = malformed[1].decode()
+        raise MarksError(f'mark {name}: not a quoted value')
     return found
 
 
 def _unescape(text: bytes) -> bytes:
-    return text.replace(b"\\'", b"'")
+    return text.replace(rb'\'', b"'")
--- a/monsoonproxy/packets.py
+++ b/monsoonproxy/packets.py
@@ -1,5 +1,7 @@
 """Packets that the entry side sends to callers."""
 
+import itertools
+
 from mysql_mimic.types import Capabilities, ServerStatus, uint_len
 
 from monsoonproxy import messages
@@ -107,6 +109,16 @@
     )
 
 
+def unknown_service(service: str) -> bytes:
+    """Encode the answer to a caller that names an unknown service.
+
+    :param service: What the caller asked for.
+    :returns: The payload.
+    """
+    shown = service[:64]
+    return error(1049, '42000', f'Unknown database {shown!r}')
+
+
 def header(
     columns: list[messages.Column], status: int, short: bool
 ) -> list[bytes]:
@@ -172,7 +184,7 @@
         return [head]
     marker = _definition(messages.Column('?', 0xFD, 63, 0))
     end = end_of_rows(status, 0, short=False)
-    return [head, *([marker] * parameters), end]
+    return [head, *itertools.repeat(marker, parameters), end]
 
 
 def _definition(column: messages.Column) -> bytes:
--- a/monsoonproxy/streams.py
+++ b/monsoonproxy/streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import ssl
+import struct
 from typing import Any, Protocol
 
 import attrs
@@ -47,14 +48,11 @@
 
 
 @attrs.define(eq=False)
-class PacketStream(asyncio.Protocol):
-    """Reads and writes packets.
-
-    It keeps no buffer while the connection is idle, and it does not need a
-    task that waits for the next packet.
+class PacketWriter(asyncio.Protocol):
+    """Writes packets.
 
     :param owner: Is told what happens.
-    :param limit: Greatest size of a packet.
+    :param limit: Greatest size of a packet that is read.
     """
 
     owner: Owner
@@ -62,11 +60,109 @@
     transport: Any = None
     closed: bool = False
     closing: bool = False
-    _input: bytearray | None = None
-    _output: bytearray | None = None
     _sequence: int = 0
-    _reader: asyncio.Future[None] | None = None
+    _output: bytearray | None = None
     _writer: asyncio.Future[None] | None = None
+
+    def pause_writing(self) -> None:
+        """Let writers wait until the caller has read enough."""
+        self._writer = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        _wake(self._writer)
+        self._writer = None
+
+    def put(self, *packets: bytes) -> None:
+        """Frame packets into the output buffer.
+
+        :param packets: The payloads.
+        """
+        if self._output is None:
+            self._output = bytearray()
+        output = self._output
+        sequence = self._sequence
+        for payload in packets:
+            size = len(payload)
+            if size >= MAX_FRAME:
+                sequence = _put_frames(output, payload, sequence)
+                continue
+            output += (size | sequence << 24).to_bytes(4, 'little')
+            output += payload
+            sequence = (sequence + 1) % _SEQUENCES
+        self._sequence = sequence
+
+    async def drain(self) -> None:
+        """Send the output buffer; wait while the caller reads too slowly.
+
+        :raises ConnectionGoneError: If the caller has gone.
+        """
+        self.flush()
+        if self._writer is not None:
+            await self._writer
+        if self.closed:
+            raise ConnectionGoneError('the caller closed the connection')
+
+    async def drain_some(self) -> None:
+        """Send the output buffer once it is large."""
+        if self._output is not None and len(self._output) >= BATCH:
+            await self.drain()
+
+    def flush(self) -> None:
+        """Hand the output buffer to the transport."""
+        if self._output is not None:
+            if not self.closed:
+                self.transport.write(self._output)
+            self._output = None
+
+    async def write(self, data: bytes, drain: bool = True) -> None:
+        """Write a packet, in the way that ``mysql_mimic`` asks for it.
+
+        :param data: The payload.
+        :param drain: Whether to send it at once.
+        """
+        self.put(data)
+        if drain:
+            await self.drain()
+
+    def put_answer(self, packet: bytes) -> None:
+        """Put a packet that the caller takes for the answer to its next one.
+
+        :param packet: The payload.
+        """
+        self._sequence = 1
+        self.put(packet)
+
+    def finish_writing(self) -> None:
+        """Send what is buffered and tell the caller that nothing follows."""
+        self.flush()
+        if not self.closed and self.transport.can_write_eof():
+            self.transport.write_eof()
+
+    def reset_seq(self) -> None:
+        """Start the sequence numbers of the next command."""
+        self._sequence = 0
+
+    def close(self) -> None:
+        """Send what is buffered and close the connection."""
+        self.flush()
+        self.closing = True
+        self.transport.close()
+
+
+@attrs.define(eq=False)
+class PacketStream(PacketWriter):
+    """Reads and writes packets.
+
+    It keeps no buffer while the connection is idle, and it does not need a
+    task that waits for the next packet.
+
+    :param owner: Is told what happens.
+    :param limit: Greatest size of a packet.
+    """
+
+    _input: bytearray | None = None
+    _reader: asyncio.Future[None] | None = None
     _paused: bool = False
     _parts: list[bytes] | None = None
 
@@ -106,15 +202,6 @@
         _wake(self._writer)
         self.owner.lost()
 
-    def pause_writing(self) -> None:
-        """Let writers wait until the caller has read enough."""
-        self._writer = asyncio.get_running_loop().create_future()
-
-    def resume_writing(self) -> None:
-        """Let writers go on."""
-        _wake(self._writer)
-        self._writer = None
-
     @property
     def has_input(self) -> bool:
         """Whether bytes are waiting.
@@ -191,62 +278,6 @@
         finally:
             self._reader = None
 
-    def put(self, *packets: bytes) -> None:
-        """Frame packets into the output buffer.
-
-        :param packets: The payloads.
-        """
-        if self._output is None:
-            self._output = bytearray()
-        output = self._output
-        sequence = self._sequence
-        for payload in packets:
-            size = len(payload)
-            if size >= MAX_FRAME:
-                sequence = _put_frames(output, payload, sequence)
-                continue
-            output += (size | sequence << 24).to_bytes(4, 'little')
-            output += payload
-            sequence = (sequence + 1) % _SEQUENCES
-        self._sequence = sequence
-
-    async def drain(self) -> None:
-        """Send the output buffer; wait while the caller reads too slowly.
-
-        :raises ConnectionGoneError: If the caller has gone.
-        """
-        self.flush()
-        if self._writer is not None:
-            await self._writer
-        if self.closed:
-            raise ConnectionGoneError('the caller closed the connection')
-
-    async def drain_some(self) -> None:
-        """Send the output buffer once it is large."""
-        if self._output is not None and len(self._output) >= BATCH:
-            await self.drain()
-
-    def flush(self) -> None:
-        """Hand the output buffer to the transport."""
-        if self._output is not None:
-            if not self.closed:
-                self.transport.write(self._output)
-            self._output = None
-
-    async def write(self, data: bytes, drain: bool = True) -> None:
-        """Write a packet, in the way that ``mysql_mimic`` asks for it.
-
-        :param data: The payload.
-        :param drain: Whether to send it at once.
-        """
-        self.put(data)
-        if drain:
-            await self.drain()
-
-    def reset_seq(self) -> None:
-        """Start the sequence numbers of the next command."""
-        self._sequence = 0
-
     async def start_tls(self, context: ssl.SSLContext) -> None:
         """Change to TLS.
 
@@ -254,7 +285,8 @@
         """
         loop = asyncio.get_running_loop()
         plain = self.transport
-        early, self._input = self._input, None
+        early = self._input
+        self._input = None
         upgrade = loop.create_task(
             loop.start_tls(plain, self, context, server_side=True)
         )
@@ -262,32 +294,12 @@
             await _feed(plain, early)
         self.transport = await upgrade
 
-    def put_answer(self, packet: bytes) -> None:
-        """Put a packet that the caller takes for the answer to its next one.
-
-        :param packet: The payload.
-        """
-        self._sequence = 1
-        self.put(packet)
-
-    def finish_writing(self) -> None:
-        """Send what is buffered and tell the caller that nothing follows."""
-        self.flush()
-        if not self.closed and self.transport.can_write_eof():
-            self.transport.write_eof()
-
     async def discard(self) -> None:
         """Drop what the caller sends until it closes the connection."""
         while not self.closed:
             self._input = None
             await self._more()
 
-    def close(self) -> None:
-        """Send what is buffered and close the connection."""
-        self.flush()
-        self.closing = True
-        self.transport.close()
-
 
 def _put_frames(output: bytearray, payload: bytes, sequence: int) -> int:
     view = memoryview(payload)
@@ -307,7 +319,7 @@
         await asyncio.sleep(0)
     layer = transport.get_protocol()
     view = layer.get_buffer(len(early))
-    view[: len(early)] = early
+    struct.pack_into(f'{len(early)}s', view, 0, bytes(early))
     layer.buffer_updated(len(early))
 
 
--- a/monsoonproxy/tokens.py
+++ b/monsoonproxy/tokens.py
@@ -114,16 +114,22 @@
         :raises TokenError: If the token is malformed, forged, expired or
             belongs to another service.
         """
+        if len(token) > MAX_LENGTH:
+            raise TokenError('the token is malformed')
         body, tag = _split(token)
         _version, term, offset, size = _HEAD.unpack_from(body)
         name = body[_HEAD.size : _HEAD.size + size]
         key = self._find(name)
+        owner = body[_HEAD.size + size :]
+        fault = ''
         if not hmac.compare_digest(key.tag(body), tag):
-            raise TokenError('the token is not signed with a known key')
-        if key.expired(now):
-            raise TokenError('the token has expired')
-        if body[_HEAD.size + size :] != service.encode():
-            raise TokenError('the token belongs to another service')
+            fault = 'is not signed with a known key'
+        elif key.expired(now):
+            fault = 'has expired'
+        elif owner != service.encode():
+            fault = 'belongs to another service'
+        if fault:
+            raise TokenError(f'the token {fault}')
         return Position(term, offset)
 
     def _find(self, name: bytes) -> Key:
@@ -138,16 +144,13 @@
 
 
 def _split(token: str) -> tuple[bytes, bytes]:
-    if len(token) > MAX_LENGTH:
-        raise TokenError('the token is malformed')
     try:
         packed = base64.b64decode(token.encode(), b'-_', validate=True)
     except (UnicodeEncodeError, binascii.Error):
-        raise TokenError('the token is malformed') from None
+        packed = b''
     # Base64 has several spellings of the same bytes; only one is accepted.
     canonical = base64.urlsafe_b64encode(packed).decode() == token
-    if not canonical or len(packed) < _HEAD.size + _TAG:
-        raise TokenError('the token is malformed')
-    if packed[0] != _VERSION:
+    long_enough = len(packed) >= _HEAD.size + _TAG
+    if not canonical or not long_enough or packed[0] != _VERSION:
         raise TokenError('the token is malformed')
     return packed[:-_TAG], packed[-_TAG:]
--- a/monsoonproxy/variables.py
+++ b/monsoonproxy/variables.py
@@ -13,10 +13,12 @@
 _VAR_STRING = 0xFD
 _UTF8 = 255
 
+_Variable = tuple[str, frozenset[str]]
+
 #: System variables that drivers ask for, and the values that SET accepts in
 #: addition to the one shown. A connection to a backend server is shared, so
 #: no other value can be put into effect.
-_FIXED: dict[str, tuple[str | None, frozenset[str]]] = {
+_FIXED: dict[str, _Variable] = {
     'auto_increment_increment': ('1', frozenset()),
     'character_set_client': ('utf8mb4', frozenset(('utf8', 'utf8mb3'))),
     'character_set_connection': ('utf8mb4', frozenset(('utf8', 'utf8mb3'))),
@@ -49,6 +51,7 @@
     'version_comment': ('monsoonproxy', frozenset()),
     'wait_timeout': ('28800', frozenset(('*',))),
 }
+_DEFAULTS = {name: fixed for name, (fixed, _) in _FIXED.items()}
 _CHARSETS = frozenset(('utf8mb4', 'utf8', 'utf8mb3', 'binary', 'default'))
 
 _COMMENT = re.compile(r'/\*.*?\*/', re.DOTALL)
@@ -167,9 +170,7 @@
     while start < len(text):
         match = _ASSIGNMENT.match(text, start)
         if match is None:
-            raise StatementError(
-                f'SET {text[start : start + 64]} is not supported'
-            )
+            raise StatementError('this form of SET is not supported')
         value = match['single'] or match['double'] or match['bare'] or ''
         yield match['name'].lower(), value
         start = match.end()
@@ -182,7 +183,7 @@
         raise StatementError(f'variable {name} is not supported')
     fixed, others = _FIXED[name]
     wanted = value.lower()
-    if wanted != str(fixed).lower() and not others & {wanted, '*'}:
+    if wanted != fixed.lower() and not others & {wanted, '*'}:
         raise StatementError(
             f'variable {name} is always {fixed}: connections are shared',
         )
@@ -192,21 +193,20 @@
 def _select(item: str, context: Context) -> tuple[str, str | None]:
     match = _ITEM.fullmatch(item)
     if match is None:
-        raise StatementError(f'{item[:64]!r} is not supported without a table')
+        raise StatementError(f'{_shorten(item)} is not known to the proxy')
     name = (match['variable'] or f'{match["function"]}()').lower()
     shown = match['alias'] or item
-    if name in context.values:
-        return shown, context.values[name]
-    if name in _FIXED:
-        return shown, _FIXED[name][0]
-    raise StatementError(f'{item[:64]} is not known to the proxy')
+    known: dict[str, str | None] = {**_DEFAULTS, **context.values}
+    if name in known:
+        return shown, known[name]
+    raise StatementError(f'{_shorten(item)} is not known to the proxy')
 
 
 def _show(text: str, context: Context) -> Table:
     match = _SHOW.fullmatch(text)
     what = match['what'].lower() if match else ''
     if match is None:
-        raise StatementError(f'{text[:64]} is not supported')
+        raise StatementError(f'{_shorten(text)} is not supported')
     if what == 'variables':
         return _show_variables(match, context)
     if what in {'warnings', 'errors'}:
@@ -225,7 +225,7 @@
             if not name.endswith('()')
         }
     )
-    names = sorted(known)
+    names = sorted(name for name in known if not name.endswith('()'))
     if match['like'] is not None:
         like = re.escape(match['like'].lower())
         pattern = like.replace('%', '.*').replace('_', '.')
@@ -246,6 +246,10 @@
     return _table(['Level', 'Code', 'Message'], rows)
 
 
+def _shorten(text: str) -> str:
+    return repr(text[:64])
+
+
 def _table(names: list[str], rows: list[list[str | None]]) -> Table:
     columns = [messages.Column(name, _VAR_STRING, _UTF8, 0) for name in names]
     return Table(columns, [[_cell(cell) for cell in row] for row in rows])
