--- a/monsoonproxy/commands.py
+++ b/monsoonproxy/commands.py
@@ -184,7 +184,10 @@
 def _answer_locally(
     conn: 'CallerConnection', sql: bytes, encoders: answers.Encoders
 ) -> None:
-    context = variables.Context(_values(conn), conn.state.warnings)
+    values = _values(conn)
+    if _TOKEN_VARIABLE.encode() in sql.lower():
+        values[_TOKEN_VARIABLE] = _token(conn)
+    context = variables.Context(values, conn.state.warnings)
     table = variables.answer(sql, context)
     encode = encoders(table.columns)
     conn.stream.put(
@@ -196,10 +199,10 @@
 
 def _values(conn: 'CallerConnection') -> dict[str, str | None]:
     session = conn.state
-    user = f'{conn.session.username}@%'
+    name = conn.session.username
+    user = f'{name}@%'
     return {
         'autocommit': '1' if session.autocommit else '0',
-        _TOKEN_VARIABLE: _token(conn),
         'database()': session.service,
         'schema()': session.service,
         'version()': variables.VERSION,
@@ -247,7 +250,7 @@
 
 async def _set_autocommit(conn: 'CallerConnection', text: str) -> bool:
     if text not in _ON and text not in _OFF:
-        raise StatementError(f'autocommit is on or off, not {text[:64]!r}')
+        raise StatementError('autocommit is either on or off')
     session = conn.state
     if text in _ON and not session.autocommit and session.in_transaction:
         if not await answers.control(conn, StatementKind.COMMIT):
@@ -266,7 +269,7 @@
 
 async def _use(conn: 'CallerConnection', service: str) -> None:
     if not conn.frontend.executor.known(service):
-        conn.fail(1049, '42000', f'Unknown database {service[:64]!r}')
+        conn.stream.put(packets.unknown_service(service))
         return
     if service != conn.state.service:
         if conn.state.in_transaction:
