Ask a backend server once per confirmation

Cause: each report that did not complete a confirmation made the group ask all members of the majority again, also those already asked for this confirmation. Ruled out: the pause between probes.

--- a/monsoonproxy/backends.py
+++ b/monsoonproxy/backends.py
@@ -109,6 +109,7 @@
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._probe_wanted = asyncio.Event()
+        self._probe_sent_at = Millis(0)
         self._used_at = clock.now()
 
     async def connect(
@@ -146,9 +147,13 @@
         """Note that the service is in use, which makes polls more frequent."""
         self._used_at = self._clock.now()
 
-    def want_probe(self) -> None:
-        """Ask :meth:`probe` for a status that is requested from now on."""
-        self._probe_wanted.set()
+    def want_probe(self, since: Millis) -> None:
+        """Ask :meth:`probe` for a status that is requested after a time.
+
+        :param since: The time.
+        """
+        if self._probe_sent_at <= since:
+            self._probe_wanted.set()
 
     async def probe(
         self, on_report: ReportHandler, on_unreachable: UnreachableHandler
@@ -163,6 +168,7 @@
             try:
                 await self._probe_connection(on_report)
             except (ConnectionLostError, BackendError) as exc:
+                self._probe_sent_at = Millis(0)
                 on_unreachable(self.name, getattr(exc, 'refused', False))
                 await asyncio.sleep(seconds(_RECONNECT_PAUSE))
 
@@ -316,6 +322,7 @@
                 await self._probe_wanted.wait()
                 self._probe_wanted.clear()
                 sent_at = self._clock.now()
+                self._probe_sent_at = sent_at
                 report = await self._in_time(conn.status())
                 on_report(self.name, report, sent_at)
                 await asyncio.sleep(seconds(_PROBE_PAUSE))
--- a/monsoonproxy/groups.py
+++ b/monsoonproxy/groups.py
@@ -191,9 +191,9 @@
         """
         while self._clock.now() <= since:
             await asyncio.sleep(_CLOCK_STEP)
-        self.ask(everyone=False)
+        self.ask(since, everyone=False)
         return await self._wait(
-            lambda: self._confirmed(since), deadline, ask=True
+            lambda: self._confirmed(since), deadline, ask_since=since
         )
 
     def position_since(self, since: Millis) -> Position | None:
@@ -224,7 +224,7 @@
         condition: Callable[[], bool],
         deadline: int,
         *,
-        ask: bool = False,
+        ask_since: Millis | None = None,
     ) -> bool:
         while not condition():
             now = self._clock.now()
@@ -234,21 +234,24 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(seconds(pause)):
                     await self._changed.wait()
-            if ask and not condition():
+            if ask_since is not None and not condition():
                 waited = self._clock.now() - now
-                self.ask(everyone=waited >= _ASK_AGAIN)
+                self.ask(ask_since, everyone=waited >= _ASK_AGAIN)
         return True
 
-    def ask(self, *, everyone: bool = True) -> None:
-        """Ask backend servers for their status now.
+    def ask(self, since: Millis, *, everyone: bool = True) -> None:
+        """Ask backend servers for a status of a later time.
 
+        Those that have been asked since then are not asked again.
+
+        :param since: The time.
         :param everyone: Ask all of them, and not just enough for a majority.
         """
         names = sorted(self.backends, key=self._last_to_ask)
         if not everyone:
             names = names[: quorum.majority(len(names))]
         for name in names:
-            self.backends[name].want_probe()
+            self.backends[name].want_probe(since)
 
     def _last_to_ask(self, name: str) -> tuple[bool, bool]:
         """Sort the primary first, then members that were heard from lately."""
@@ -296,7 +299,7 @@
 
     def _run(self, command: signals.Command) -> None:
         if isinstance(command, signals.Probe):
-            self.backends[command.name].want_probe()
+            self.backends[command.name].want_probe(self._clock.now())
         elif isinstance(command, signals.PrimaryChanged):
             self._primary_changed(command)
         elif isinstance(command, signals.GiveUp):
--- a/monsoonproxy/holders.py
+++ b/monsoonproxy/holders.py
@@ -293,7 +293,7 @@
     ) -> str | None:
         floor = self.group.position_since(call.arrived)
         if floor is None:
-            self.group.ask()
+            self.group.ask(call.arrived)
             return None
         call.req = replace(call.req, floor=(floor.term, floor.offset))
         req = ReadRequest(call.req.max_age or 0, floor, call.deadline)
