--- a/monsoonproxy/quorum.py
+++ b/monsoonproxy/quorum.py
@@ -84,6 +84,25 @@
     return start is None or position.offset < start[1]
 
 
+def covers(
+    report: BackendReport, term: int, lineage: Lineage, floor: Position
+) -> bool:
+    """Tell whether a member's data reflects a floor.
+
+    A member of an older term may hold other entries at the same offsets, and
+    so may the log of the term if the floor belongs to a later one.
+
+    :param report: Report of the member.
+    :param term: The highest term known to be in force.
+    :param lineage: Term starts of that term's log.
+    :param floor: Floor of a session, as ``GroupView.floor`` gives it.
+    :returns: Whether a read on the member reflects the floor.
+    """
+    if report.log_term != term or floor.term > term:
+        return False
+    return report.applied >= map_position(lineage, floor).offset
+
+
 @attrs.define
 class _Member:
     """What is known of one member.
@@ -229,6 +248,34 @@
             return position.offset <= done.offset
         return contains(self._lineage, position)
 
+    def floor(self, position: Position) -> Position:
+        """Return the floor of a session that knows of a write.
+
+        A write of an earlier term may be acknowledged in a later one although
+        a term between them did not have it. Its floor must have the later
+        term: a daemon that only knows the term between them would otherwise
+        map the floor to that term's start.
+
+        :param position: Position of the write.
+        :returns: The floor.
+        """
+        done = self._committed
+        if done is None or not self.acknowledged(position):
+            return position
+        return Position(done.term, position.offset)
+
+    def covers(self, name: str, floor: Position) -> bool:
+        """Tell whether the latest report of a member reflects a floor.
+
+        :param name: A member.
+        :param floor: Floor of a session.
+        :returns: Whether a read on it reflects the floor.
+        """
+        report = self.report(name)
+        return report is not None and covers(
+            report, self._term, self._lineage, floor
+        )
+
     def map_floor(self, position: Position) -> Position:
         """Map a session's floor to the current log.
 
