--- a/emulator/measure_frontend.py
+++ b/emulator/measure_frontend.py
@@ -6,9 +6,12 @@
 """
 
 import asyncio
+import functools
 import gc
+import itertools
 import json
 import multiprocessing
+import operator
 import os
 import struct
 import time
@@ -19,11 +22,12 @@
 
 from monsoonproxy import frontends, messages, sessions, statements, tokens
 
+_LOGIN = b'u\x00\x00hire\x00mysql_native_password\x00'
 _STATEMENTS = 20_000
 _CALLERS = 16
 _IDLE = 2000
 _ROWS = 10
-_CAPABILITIES = 0x010A8208
+_CAPABILITIES = 0x10A8208
 _SQL = (
     "SELECT id, name, free FROM stock WHERE depot = 'Sohar' AND id IN (1, {0})"
     " /* max_age_ms='500' */"
@@ -51,7 +55,9 @@
         :yields: The messages of the answer.
         """
         columns = [messages.Column(name, 0xFD, 255, 0) for name in 'abc']
-        rows: list[messages.Row] = [[b'12', b'panel', b'7']] * _ROWS
+        rows: list[messages.Row] = list(
+            itertools.repeat([b'12', b'panel', b'7'], _ROWS)
+        )
         yield messages.ResultHeader(1, columns)
         yield messages.ResultRows(1, 0, rows)
         yield messages.ResultEnd(1, 1, 0, 0, 0, None, False, 'a', '')
@@ -100,7 +106,7 @@
         if not self._greeted:
             self._greeted = True
             head = struct.pack('<IIB23x', _CAPABILITIES, 1 << 24, 45)
-            self._send(1, head + b'u\x00\x00hire\x00mysql_native_password\x00')
+            self._send(1, b''.join((head, _LOGIN)))
         elif not self.ready.done():
             self.ready.set_result(None)
         elif data[-11:-8] == b'\x07\x00\x00':
@@ -112,11 +118,11 @@
             self.done.set_result(None)
             return
         self.left -= 1
-        self._send(0, b'\x03' + _SQL.format(self.left).encode())
+        self._send(0, b'\x03%b' % _SQL.format(self.left).encode())
 
     def _send(self, sequence: int, payload: bytes) -> None:
         head = (len(payload) | sequence << 24).to_bytes(4, 'little')
-        self._transport.write(head + payload)
+        self._transport.writelines((head, payload))
 
 
 async def _connect(port: int, count: int, each: int) -> list[Caller]:
@@ -124,7 +130,7 @@
     callers = []
     for _ in range(count):
         _, caller = await loop.create_connection(
-            lambda: Caller(each), '127.0.0.1', port
+            functools.partial(Caller, each), '127.0.0.1', port
         )
         await caller.ready
         callers.append(caller)
@@ -134,7 +140,7 @@
 async def _run_all(callers: list[Caller]) -> None:
     for caller in callers:
         caller.ask()
-    await asyncio.gather(*(caller.done for caller in callers))
+    await asyncio.gather(*map(operator.attrgetter('done'), callers))
 
 
 async def _call(port: int, pipe: Any) -> None:
--- a/monsoonproxy/bindings.py
+++ b/monsoonproxy/bindings.py
@@ -281,5 +281,6 @@
 
 def _with_micros(text: str, micros: int) -> bytes:
     if micros:
-        text = f'{text}.{micros:06}'
+        digits = str(micros).zfill(6)
+        text = f'{text}.{digits}'
     return text.encode()
--- a/monsoonproxy/marks.py
+++ b/monsoonproxy/marks.py
@@ -5,8 +5,6 @@
 from typing import Any
 from urllib.parse import unquote_to_bytes
 
-import attrs
-
 from monsoonproxy.exceptions import MarksError
 from monsoonproxy.models import Marks
 
@@ -86,7 +84,7 @@
             found[key] = text
     if not found:
         return _NONE
-    return attrs.evolve(_NONE, **dict(map(_read, found, found.values())))
+    return Marks(**dict(map(_read, found, found.values())))
 
 
 def read_one(key: str, text: str) -> tuple[str, Any]:
--- a/monsoonproxy/packets.py
+++ b/monsoonproxy/packets.py
@@ -1,5 +1,6 @@
 """Packets that the entry side sends to callers."""
 
+import functools
 import itertools
 
 from mysql_mimic.types import Capabilities, ServerStatus, uint_len
@@ -187,6 +188,8 @@
     return [head, *itertools.repeat(marker, parameters), end]
 
 
+# Most results have columns that an earlier result had too.
+@functools.lru_cache(maxsize=4096)
 def _definition(column: messages.Column) -> bytes:
     name = length_prefixed(column.name.encode())
     decimals = _NO_DECIMALS if column.type_code in _FLOAT_TYPES else 0
--- a/monsoonproxy/variables.py
+++ b/monsoonproxy/variables.py
@@ -197,9 +197,9 @@
     name = (match['variable'] or f'{match["function"]}()').lower()
     shown = match['alias'] or item
     known: dict[str, str | None] = {**_DEFAULTS, **context.values}
-    if name in known:
-        return shown, known[name]
-    raise StatementError(f'{_shorten(item)} is not known to the proxy')
+    if name not in known:
+        raise StatementError(f'{_shorten(item)} is not known to the proxy')
+    return shown, known[name]
 
 
 def _show(text: str, context: Context) -> Table:
@@ -217,14 +217,7 @@
 
 
 def _show_variables(match: re.Match[str], context: Context) -> Table:
-    known = {name: fixed[0] for name, fixed in _FIXED.items()}
-    known.update(
-        {
-            name: value
-            for name, value in context.values.items()
-            if not name.endswith('()')
-        }
-    )
+    known: dict[str, str | None] = {**_DEFAULTS, **context.values}
     names = sorted(name for name in known if not name.endswith('()'))
     if match['like'] is not None:
         like = re.escape(match['like'].lower())
--- a/tests/test_frontends.py
+++ b/tests/test_frontends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import pathlib
 import re
 import ssl
@@ -32,6 +33,7 @@
 
 load_tests = load_functions(__name__)
 
+_UNSIGNED = st.integers(0, 2**64 - 1)
 _SECRET = b'0123456789abcdef0123456789abcdef'
 
 
@@ -100,7 +102,7 @@
 
     async def ask(self, caller: wire.RawCaller, sql: bytes) -> bytes:
         """Send a text statement."""
-        return await caller.ask(b'\x03' + sql)
+        return await caller.ask(b'\x03%b' % sql)
 
     async def in_thread(self, call: Callable[..., Any], **options: Any) -> Any:
         """Call a function with a PyMySQL connection in a thread."""
@@ -161,12 +163,12 @@
 async def test_binary_rows(running: Running) -> None:
     """Guards against a value that the binary protocol changes."""
     cells = {
-        (0x01, 0): (b'-5', b'\xfb'),
-        (0x08, 0x20): (b'18446744073709551615', b'\xff' * 8),
-        (0x05, 0): (b'0.1', struct.pack('<d', 0.1)),
-        (0x0C, 0): (b'2026-12-04 00:00:00', b'\x04\xea\x07\x0c\x04'),
-        (0x0A, 0): (b'0000-00-00', b'\x00'),
-        (0x0B, 0): (
+        (1, 0): (b'-5', b'\xfb'),
+        (8, 0x20): (b'18446744073709551615', b'\xff' * 8),
+        (5, 0): (b'0.1', struct.pack('<d', 0.1)),
+        (12, 0): (b'2026-12-04 00:00:00', b'\x04\xea\x07\x0c\x04'),
+        (10, 0): (b'0000-00-00', b'\x00'),
+        (11, 0): (
             b'-25:00:01.5',
             b'\x0c\x01\x01\x00\x00\x00\x01\x00\x01\x20\xa1\x07\x00',
         ),
@@ -185,10 +187,10 @@
     for _ in range(9):
         await caller.read()
     packed = b''.join(packed for _text, packed in cells.values())
-    assert await caller.read() == b'\x00\x00\x02' + packed
+    assert await caller.read() == b'\x00\x00\x02%b' % packed
 
 
-@given(st.binary(max_size=300), st.text(max_size=50), st.integers(0, 2**64 - 1))
+@given(st.binary(max_size=300), st.text(max_size=50), _UNSIGNED)
 def test_parameters(blob: bytes, text: str, number: int) -> None:
     """Guards against a parameter that changes on its way into the text."""
     raw = text.encode()
@@ -202,10 +204,12 @@
     head = b'\x00\x01\x00\x00\x00\x08\x01\xfc\x00\xfd\x00\x08\x80\x06\x00'
     prepared = bindings.Prepared(statements.split(b"S '?' ?,?,?,?"))
     sql, _ = bindings.read_execution(
-        bindings.Reader(head + fields), prepared, with_attributes=False
+        bindings.Reader(b''.join((head, fields))),
+        prepared,
+        with_attributes=False,
     )
     binary = b"_binary X'%b'" % blob.hex().encode()
-    start = b"S '?' " + binary + b",'"
+    start = b"S '?' %b,'" % binary
     end = b"',%d,NULL" % number
     assert sql.startswith(start)
     assert sql.endswith(end)
@@ -221,15 +225,15 @@
 async def test_parameter_types(running: Running) -> None:
     """Guards against dates, numbers and broken text that change."""
     caller = await running.raw()
-    number = await caller.prepare(b'INSERT ' + b','.join([b'?'] * 7))
+    number = await caller.prepare(b'INSERT ?,?,?,?,?,?,?')
     answer = await caller.execute(number, [
-        (0x05, struct.pack('<d', 1)),
-        (0x01, b'\xfe'),
-        (0x0C, b'\x07\xea\x07\x0c\x04\x01\x02\x03'),
-        (0x0B, b'\x08\x01\x01\x00\x00\x00\x02\x03\x04'),
+        (5, struct.pack('<d', 1)),
+        (1, b'\xfe'),
+        (12, b'\x07\xea\x07\x0c\x04\x01\x02\x03'),
+        (11, b'\x08\x01\x01\x00\x00\x00\x02\x03\x04'),
         (0xFD, b'\x01\xff'),
         (0xF6, b'\x041.50'),
-        (0x08, None),
+        (8, None),
     ])  # fmt: skip
     assert answer[0] == 0
     assert running.executor.texts() == [
@@ -269,14 +273,16 @@
 async def test_caller_goes(running: Running) -> None:
     """Guards against work that goes on for a caller that has gone."""
     column = messages.Column('a', 0xFD, 255, 0)
-    big = messages.ResultRows(1, 0, [[b'x' * 100_000]] * 10)
+    big = messages.ResultRows(
+        1, 0, list(itertools.repeat([bytes(100_000)], 10))
+    )
     running.executor.answers[b'SELECT a'] = [
-        messages.ResultHeader(1, [column]), *([big] * 100),
+        messages.ResultHeader(1, [column]), *itertools.repeat(big, 100),
     ]  # fmt: skip
     running.executor.answers[b'SELECT b'] = [None]
     for sql in (b'SELECT a', b'SELECT b'):
         caller = await running.raw()
-        caller.send(b'\x03' + sql)
+        caller.send(b'\x03%b' % sql)
         while running.executor.texts()[-1:] != [sql]:
             await asyncio.sleep(0)
         caller.writer.transport.abort()
@@ -300,7 +306,12 @@
         assert await caller.closed()
     stranger = await wire.RawCaller.connect(running.port)
     assert wire.error_code(await stranger.log_in(b'other')) == 1049
-    large = await running.raw()
+    assert (await running.ask(good, b'INSERT'))[0] == 0
+
+
+async def test_large_packet(running: Running) -> None:
+    """Guards against a packet that fills the memory."""
+    good, large = await running.raw(), await running.raw()
     large.writer.write(b'\xff\xff\xff\x00')
     assert wire.error_code(await large.read()) == 1153
     assert await large.closed()
@@ -334,8 +345,8 @@
         tls.do_handshake()
     caller = await wire.RawCaller.connect(port)
     await caller.read()
-    request = struct.pack('<IIB23x', 0x0000AA00, 1 << 24, 45)
-    caller.writer.write(b'\x20\x00\x00\x01' + request + outgoing.read())
+    request = struct.pack('<IIB23x', 0xAA00, 1 << 24, 45)
+    caller.writer.writelines((b'\x20\x00\x00\x01', request, outgoing.read()))
     assert (await caller.reader.readexactly(1)) == b'\x16'
 
 
@@ -378,7 +389,7 @@
     )
     async with conn.cursor() as cursor:
         await cursor.execute('SET @@monsoonproxy_token = %s', (token,))
-    (connection,) = running.frontend.connections
+    connection = next(iter(running.frontend.connections))
     assert connection.state.floor == Position(3, 40)
     await conn.ensure_closed()
 
@@ -413,7 +424,7 @@
         answer = await caller.ask(command)
         assert answer[:5] == b'\x00\x00\x00\x02\x00'
         assert await running.executor.events.get() == 'close'
-    (connection,) = running.frontend.connections
+    connection = next(iter(running.frontend.connections))
     assert connection.state.service == 'hire-2'
 
 
@@ -459,3 +470,81 @@
     second = await wire.RawCaller.connect(running.port)
     assert wire.error_code(await second.read()) == 1040
     assert (await running.ask(first, b'INSERT'))[0] == 0
+
+
+async def test_local_answers(running: Running) -> None:
+    """Guards against a driver that can't connect or gets wrong settings."""
+    running.executor.answers[b'INSERT'] = [_end(insert_id=9, warnings=2)]
+    expected = {
+        'SELECT @@session.sql_mode AS a, DATABASE(), @@autocommit LIMIT 1': (
+            ('STRICT_TRANS_TABLES', 'hire', '1'),
+        ),
+        "SHOW VARIABLES LIKE 'lower_case%'": (('lower_case_table_names', '0'),),
+        "SHOW VARIABLES WHERE Variable_name IN ('autocommit')": (
+            ('autocommit', '1'),
+        ),
+        'SELECT LAST_INSERT_ID()': (('9',),),
+        'SHOW WARNINGS': (
+            ('Note', '1105', '2 warnings; their text is not kept'),
+        ),
+    }
+
+    def call(conn: pymysql.Connection) -> dict[str, tuple[Any, ...]]:
+        with conn.cursor() as cursor:
+            cursor.execute('SET NAMES utf8mb4 COLLATE utf8mb4_general_ci')
+            cursor.execute("SET time_zone = '+00:00', wait_timeout = 5")
+            cursor.execute('SET @@monsoonproxy_max_age_ms = 700')
+            cursor.execute('INSERT')
+            found = {}
+            for sql in expected:
+                cursor.execute(sql)
+                found[sql] = cursor.fetchall()
+            return found
+
+    assert await running.in_thread(call) == expected
+    (statement,) = running.executor.seen
+    assert statement.marks.max_age == 700
+
+
+async def test_large_values(running: Running) -> None:
+    """Guards against values of more than one frame that break."""
+    running.frontend.limits = frontends.Limits()
+    column = messages.Column('a', 0xFC, 63, 0)
+    cells = [bytes(size) for size in (0xFFFFFF - 4, 0xFFFFFF, 17_000_000)]
+    running.executor.answers[b'SELECT a'] = [
+        messages.ResultHeader(1, [column]),
+        *(messages.ResultRows(1, 0, [[cell]]) for cell in cells),
+        _end(row_messages=3),
+    ]
+    large = b"INSERT '%b'" % bytes(17_000_000)
+
+    def call(conn: pymysql.Connection) -> list[bytes]:
+        conn.query(large)
+        with conn.cursor() as cursor:
+            cursor.execute('SELECT a')
+            return [cell for (cell,) in cursor.fetchall()]
+
+    options = {'max_allowed_packet': 64 * 1024 * 1024}
+    assert await running.in_thread(call, **options) == cells
+    assert running.executor.texts()[0] == large
+
+
+async def test_query_attributes() -> None:
+    """Guards against query attributes that are lost."""
+    content = b'\x02\x01\x02\x01\xfe\x00\x0amax_age_ms\x08\x00\x01x\x03500S'
+    assert bindings.read_query(content, with_attributes=True) == (
+        b'S',
+        {'max_age_ms': b'500', 'x': None},
+    )
+
+
+async def test_pipelined_commands(running: Running) -> None:
+    """Guards against commands that are lost when they come in one piece."""
+    caller = await running.raw()
+    count = 5000
+    sql = b'\x03INSERT'.ljust(100)
+    for _ in range(count):
+        caller.send(sql)
+    for _ in range(count):
+        assert (await caller.read())[0] == 0
+    assert (await running.ask(caller, b'INSERT'))[0] == 0
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -10,8 +10,7 @@
 
 load_tests = load_functions(__name__)
 
-_KINDS = {
-    'read': """
+_READ = r"""
 SELECT a FROM b WHERE c = 'FOR UPDATE' AND d IN (1, 2, 3)
 (SELECT a FROM b) UNION (SELECT c FROM d) LIMIT 1;
 SELECT `into`, COUNT(*), NOW() FROM b -- INTO @x
@@ -21,8 +20,9 @@
 SHOW TABLES
 EXPLAIN SELECT 1
 SELECT a FROM b; -- end
-SELECT 'it''s \\' INTO', "x;y" FROM b""",
-    'write': """
+SELECT 'it''s \' INTO', "x;y" FROM b
+"""
+_WRITE = r"""
 SELECT a FROM b FOR UPDATE
 SELECT a FROM b FOR/* */SHARE
 SELECT a FROM b LOCK IN SHARE MODE
@@ -46,23 +46,45 @@
 ROLLBACK TO SAVEPOINT a
 ROLLBACK WORK TO a
 RELEASE SAVEPOINT a
-SOMETHING NEW""",
-    'begin': """
+SOMETHING NEW
+"""
+_BEGIN = r"""
 BEGIN
 /* x */ begin work;
 START  TRANSACTION
 START TRANSACTION READ ONLY
-START TRANSACTION WITH CONSISTENT SNAPSHOT, READ WRITE""",
-    'commit': 'COMMIT\ncommit work;',
-    'rollback': 'ROLLBACK\nROLLBACK /* x */ ;',
-    'set': "SET autocommit=0\nSET NAMES utf8mb4\nUSE a\nSET @@x = 'a'",
-    'local': """
+START TRANSACTION WITH CONSISTENT SNAPSHOT, READ WRITE
+"""
+_COMMIT = r"""
+COMMIT
+commit work;
+"""
+_ROLLBACK = r"""
+ROLLBACK
+ROLLBACK /* x */ ;
+"""
+_SET = r"""
+SET autocommit=0
+SET NAMES utf8mb4
+USE a
+SET @@x = 'a'
+"""
+_LOCAL = r"""
 SELECT @@version_comment LIMIT 1
 SELECT DATABASE()
 /* driver */ SELECT @@session.auto_increment_increment AS a, @@b
 SHOW VARIABLES LIKE 'sql_mode'
 SHOW WARNINGS
-SELECT LAST_INSERT_ID()""",
+SELECT LAST_INSERT_ID()
+"""
+_KINDS = {
+    'read': _READ,
+    'write': _WRITE,
+    'begin': _BEGIN,
+    'commit': _COMMIT,
+    'rollback': _ROLLBACK,
+    'set': _SET,
+    'local': _LOCAL,
 }
 _REFUSED = (
     'KILL 1', 'LOCK TABLES a WRITE', 'COMMIT AND CHAIN', 'PROMOTE GROUP',
@@ -112,7 +134,7 @@
 def test_literals(texts: list[str]) -> None:
     """Guards against the content of a literal taken for SQL."""
     quoted = ', '.join(
-        "'{0}'".format(text.replace('\\', '\\\\').replace("'", "''"))
+        "'{0}'".format(text.replace('\\', r'\\').replace("'", "''"))
         for text in texts
     )
     sql = f'SELECT a FROM b WHERE c IN (?, {quoted}) AND d = ?'.encode()
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -7,8 +7,7 @@
 
 PREPARE = 0x16
 EXECUTE = 0x17
-QUERY = 0x03
-_CAPABILITIES = 0x00000200 | 0x00008000 | 0x00000008 | 0x00080000
+_CAPABILITIES = 0x200 | 0x8000 | 0x8 | 0x80000
 
 
 @attrs.define
@@ -47,7 +46,7 @@
         :param sequence: Its sequence number.
         """
         head = (len(payload) | sequence << 24).to_bytes(4, 'little')
-        self.writer.write(head + payload)
+        self.writer.writelines((head, payload))
 
     async def ask(self, payload: bytes) -> bytes:
         """Send a command and read the first packet of its answer.
@@ -67,8 +66,8 @@
         """
         await self.read()
         head = struct.pack('<IIB23x', _CAPABILITIES, 1 << 24, 45)
-        tail = b'\x00\x00' + database + b'\x00mysql_native_password\x00'
-        self.send(head + user + tail, 1)
+        tail = b'%b\x00\x00%b\x00mysql_native_password\x00' % (user, database)
+        self.send(b''.join((head, tail)), 1)
         return await self.read()
 
     async def prepare(self, sql: bytes) -> int:
@@ -77,7 +76,7 @@
         :param sql: Its text.
         :returns: Its number.
         """
-        answer = await self.ask(bytes((PREPARE,)) + sql)
+        answer = await self.ask(b'%c%b' % (PREPARE, sql))
         parameters = int.from_bytes(answer[7:9], 'little')
         for _ in range(parameters + bool(parameters)):
             await self.read()
@@ -95,13 +94,13 @@
         nulls = sum(
             1 << index for index, (_, value) in enumerate(values) if not value
         )
-        payload = struct.pack('<BIBI', EXECUTE, number, 0, 1)
+        parts = [struct.pack('<BIBI', EXECUTE, number, 0, 1)]
         if values:
-            payload += nulls.to_bytes((len(values) + 7) // 8, 'little')
-            payload += b'\x01'
-            payload += b''.join(struct.pack('<H', code) for code, _ in values)
-            payload += b''.join(value or b'' for _, value in values)
-        return await self.ask(payload)
+            parts.append(nulls.to_bytes((len(values) + 7) // 8, 'little'))
+            parts.append(b'\x01')
+            parts.extend(struct.pack('<H', code) for code, _ in values)
+            parts.extend(value or b'' for _, value in values)
+        return await self.ask(b''.join(parts))
 
     async def closed(self) -> bool:
         """Wait until the other side closes the connection.
