--- a/monsoonproxy/connections.py
+++ b/monsoonproxy/connections.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
@@ -20,11 +20,19 @@
 if TYPE_CHECKING:
     from monsoonproxy.frontends import Frontend
 
+_Work = Callable[[], Coroutine[Any, Any, None]]
+
 _LEAVING = packets.error(
     4100,
     'HY000',
     'not run: the proxy is shutting down; come back after 0 ms',
 )
+_ROLLED_BACK = packets.error(
+    4100,
+    'HY000',
+    'not run: the proxy is shutting down and the transaction was rolled back;'
+    ' come back after 0 ms',
+)
 _Code = tuple[int, str]
 _CODES: dict[type[MonsoonError], _Code] = {
     MarksError: (4102, 'HY000'),
@@ -44,25 +52,25 @@
     def __init__(self, frontend: 'Frontend') -> None:
         super().__init__(frontend, self)
         self._leaving = False
+        self._gives_up = False
 
     # Events of the stream.
 
     def opened(self) -> None:
         """Start the handshake."""
         frontend = self.frontend
-        if len(frontend.connections) >= frontend.limits.connections:
-            self.stream.put(
-                packets.error(1040, '08004', 'Too many connections')
-            )
-            self.stream.close()
-            return
-        frontend.connections.add(self)
-        self._start_task(self._open())
+        if frontend.draining:
+            self._turn_away(1053, 'Server shutdown in progress')
+        elif len(frontend.connections) >= frontend.limits.connections:
+            self._turn_away(1040, 'Too many connections')
+        else:
+            frontend.connections.add(self)
+            self._start_task(self._open)
 
     def arrived(self) -> None:
         """Serve commands, unless a task does already."""
-        if self._task is None:
-            self._start_task(self._serve())
+        if self._task is None and not self.stream.closing:
+            self._start_task(self._serve)
 
     def lost(self) -> None:
         """End the session; the caller has gone."""
@@ -71,23 +79,31 @@
 
     # Shutdown.
 
-    def leave(self) -> None:
-        """Close the connection as soon as no request or transaction is open."""
+    def leave(self, *, in_transaction: bool = False) -> None:
+        """Close the connection as soon as no request is open.
+
+        :param in_transaction: Whether an open transaction is given up too.
+        """
         self._leaving = True
-        if self._task is None and not self.state.in_transaction:
-            self._start_task(self._say_goodbye())
+        self._gives_up = in_transaction
+        if self._task is None and self._may_leave:
+            self._start_task(self._say_goodbye)
 
     def abort(self) -> None:
         """Close the connection at once, whether or not the caller reads."""
         self.stream.closing = True
         self.stream.transport.abort()
 
-    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+    def _turn_away(self, code: int, text: str) -> None:
+        self.fail(code, '08004', text)
+        self.stream.close()
+
+    def _start_task(self, work: _Work) -> None:
         self._task = asyncio.get_running_loop().create_task(self._guard(work))
 
-    async def _guard(self, work: Coroutine[Any, Any, None]) -> None:
+    async def _guard(self, work: _Work) -> None:
         try:
-            await work
+            await work()
         except MonsoonError as exc:
             if isinstance(exc, PacketError):
                 self.fail(exc.code, '08S01', str(exc))
@@ -106,15 +122,21 @@
         if self.stream.has_input:
             self.arrived()
         elif self._leaving:
-            self.leave()
+            self.leave(in_transaction=self._gives_up)
+
+    @property
+    def _may_leave(self) -> bool:
+        return self._gives_up or not self.state.in_transaction
 
     async def _finish(self) -> None:
         task = self._task
         if task is not None:
             task.cancel()
             await asyncio.wait((task,))
-        await self.frontend.executor.close(self.state)
-        self.frontend.connections.discard(self)
+        try:
+            await self.frontend.executor.close(self.state)
+        finally:
+            self.frontend.connections.discard(self)
 
     # The handshake.
 
@@ -133,7 +155,7 @@
             packet = await self.stream.read()
             await self._command(packet)
             self.stream.reset_seq()
-            if self._leaving and not self.state.in_transaction:
+            if self._leaving and self._may_leave:
                 await self._say_goodbye()
 
     async def _command(self, packet: bytes) -> None:
@@ -155,7 +177,8 @@
     async def _say_goodbye(self) -> None:
         # The caller may be sending a request right now. It reads this packet
         # as its answer, so it learns that the request was not run.
-        self.stream.put_answer(_LEAVING)
+        inside = self.state.in_transaction
+        self.stream.put_answer(_ROLLED_BACK if inside else _LEAVING)
         self.stream.finish_writing()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.frontend.limits.linger / 1000):
--- a/monsoonproxy/frontends.py
+++ b/monsoonproxy/frontends.py
@@ -139,7 +139,8 @@
         """Close each connection between requests and outside transactions.
 
         Returns when no connection is left. The caller of this method sets
-        the time limit and calls :meth:`abort` after it.
+        the time limits and calls :meth:`end_transactions` and :meth:`abort`
+        after them.
         """
         self.draining = True
         for connection in tuple(self.connections):
@@ -148,6 +149,14 @@
             self._changed.clear()
             await self._changed.wait()
 
+    def end_transactions(self) -> None:
+        """Close connections that are being drained in transactions too.
+
+        Their callers are told that the transaction was rolled back.
+        """
+        for connection in tuple(self.connections):
+            connection.leave(in_transaction=True)
+
     def abort(self) -> None:
         """Close all connections at once."""
         for connection in tuple(self.connections):
--- a/monsoonproxy/statements.py
+++ b/monsoonproxy/statements.py
@@ -11,7 +11,7 @@
 from monsoonproxy.models import Marks, StatementKind
 
 #: Longest statement whose shape is cached; longer ones rarely come twice.
-MAX_CACHED = 8192
+MAX_CACHED = 2048
 #: Longer statements count as writes, so that looking at one never keeps the
 #: event loop for long.
 MAX_EXAMINED = 262_144
--- a/tests/test_frontends.py
+++ b/tests/test_frontends.py
@@ -19,6 +19,7 @@
 from monsoonproxy import (
     bindings,
     frontends,
+    handshakes,
     identities,
     messages,
     packets,
@@ -27,7 +28,9 @@
     tokens,
 )
 from monsoonproxy.clock import Millis
+from monsoonproxy.exceptions import StatementError
 from monsoonproxy.models import Position
+from monsoonproxy.streams import PacketError
 from tests import wire
 from tests.fixtures import fixture, load_functions
 
@@ -362,6 +365,7 @@
         (b'USE other', 1049),
         (b'SET sql_mode = ANSI', 1235),
         (b'KILL 5', 1235),
+        (b"SET GROUP TERM 9 CANDIDATE 'a'", 1235),
         (b' ', 1065),
     ):
         assert wire.error_code(await running.ask(caller, sql)) == code, sql
@@ -463,6 +467,21 @@
     await drained
 
 
+async def test_drain_limit(running: Running) -> None:
+    """Guards against a transaction that holds up a shutdown for ever."""
+    busy = await running.raw()
+    await running.ask(busy, b'BEGIN')
+    drained = asyncio.create_task(running.frontend.drain())
+    await asyncio.sleep(0)
+    late = await wire.RawCaller.connect(running.port)
+    assert wire.error_code(await late.read()) == 1053
+    running.frontend.end_transactions()
+    assert b'the transaction was rolled back' in await busy.read()
+    busy.writer.close()
+    await drained
+    assert running.executor.events.get_nowait() == 'close'
+
+
 async def test_connection_limit(running: Running) -> None:
     """Guards against more connections than the limit."""
     running.frontend.limits = frontends.Limits(connections=1)
@@ -502,8 +521,7 @@
             return found
 
     assert await running.in_thread(call) == expected
-    (statement,) = running.executor.seen
-    assert statement.marks.max_age == 700
+    assert [known.marks.max_age for known in running.executor.seen] == [700]
 
 
 async def test_large_values(running: Running) -> None:
@@ -522,7 +540,7 @@
         conn.query(large)
         with conn.cursor() as cursor:
             cursor.execute('SELECT a')
-            return [cell for (cell,) in cursor.fetchall()]
+            return [row[0] for row in cursor.fetchall()]
 
     options = {'max_allowed_packet': 64 * 1024 * 1024}
     assert await running.in_thread(call, **options) == cells
@@ -538,6 +556,24 @@
     )
 
 
+@given(st.binary(max_size=120))
+def test_malformed_packets(content: bytes) -> None:
+    """Guards against an unexpected error or an endless loop."""
+    offered = packets.CAPABILITIES
+    prepared = bindings.Prepared(statements.split(b'INSERT ?, ?'))
+    reads: tuple[Callable[[], Any], ...] = (
+        lambda: handshakes.read_login(offered, content),
+        lambda: handshakes.read_change(offered, content),
+        lambda: bindings.read_query(content, with_attributes=True),
+        lambda: bindings.read_execution(
+            bindings.Reader(content), prepared, with_attributes=True
+        ),
+    )
+    for read in reads:
+        with contextlib.suppress(PacketError, StatementError):
+            read()
+
+
 async def test_pipelined_commands(running: Running) -> None:
     """Guards against commands that are lost when they come in one piece."""
     caller = await running.raw()
