--- a/monsoonproxy/commands.py
+++ b/monsoonproxy/commands.py
@@ -103,7 +103,9 @@
     conn.last_prepared += 1
     conn.prepared[conn.last_prepared] = bindings.Prepared(parts)
     conn.stream.put(
-        *packets.prepared(conn.last_prepared, parameters, conn.status)
+        *packets.prepared(
+            conn.last_prepared, parameters, conn.status, conn.short_ends
+        )
     )
 
 
--- a/monsoonproxy/packets.py
+++ b/monsoonproxy/packets.py
@@ -162,7 +162,9 @@
     return uint_len(len(content)) + content
 
 
-def prepared(statement: int, parameters: int, status: int) -> list[bytes]:
+def prepared(
+    statement: int, parameters: int, status: int, short: bool
+) -> list[bytes]:
     """Encode the answer to a request to prepare a statement.
 
     The result's columns are not known before it runs; none are announced.
@@ -170,6 +172,7 @@
     :param statement: Number of the statement.
     :param parameters: Number of its parameters.
     :param status: Status flags.
+    :param short: Whether the caller takes no EOF packets.
     :returns: The payloads.
     """
     head = b''.join(
@@ -181,11 +184,11 @@
             b'\x00\x00\x00',
         )
     )
-    if not parameters:
-        return [head]
     marker = _definition(messages.Column('?', 0xFD, 63, 0))
-    end = end_of_rows(status, 0, short=False)
-    return [head, *itertools.repeat(marker, parameters), end]
+    answer = [head, *itertools.repeat(marker, parameters)]
+    if parameters and not short:
+        answer.append(end_of_rows(status, 0, short=False))
+    return answer
 
 
 # Most results have columns that an earlier result had too.
--- a/tests/test_frontends.py
+++ b/tests/test_frontends.py
@@ -62,6 +62,7 @@
     answers: dict[bytes, list[messages.Reply | None]] = attrs.Factory(dict)
     seen: list[statements.Statement] = attrs.Factory(list)
     events: asyncio.Queue[str] = attrs.Factory(asyncio.Queue)
+    yielded: int = 0
 
     def known(self, service: str) -> bool:
         return service.startswith('hire')
@@ -78,6 +79,7 @@
             if reply is None:
                 await asyncio.Event().wait()
             else:
+                self.yielded += 1
                 yield reply
 
     def cancel(self, session: sessions.Session) -> None:
@@ -294,6 +296,51 @@
     assert not running.frontend.connections
 
 
+async def test_slow_reader(running: Running) -> None:
+    """Guards against an answer that piles up in memory."""
+    column = messages.Column('a', 0xFC, 63, 0)
+    rows = messages.ResultRows(1, 0, [[bytes(1_000_000)]])
+    running.executor.answers[b'SELECT a'] = [
+        messages.ResultHeader(1, [column]),
+        *itertools.repeat(rows, 500),
+        _end(row_messages=500),
+    ]
+    caller = await running.raw()
+    connection = next(iter(running.frontend.connections))
+    caller.send(b'\x03SELECT a')
+    while connection.stream._writer is None:
+        await asyncio.sleep(0)
+    for _ in range(1000):
+        await asyncio.sleep(0)
+    # The caller's and the system's buffers hold a few of the 500 rows.
+    assert running.executor.yielded < 100
+    for _ in range(503):
+        assert len(await caller.read()) < 1_000_100
+    assert (await caller.read())[0] == 0xFE
+
+
+async def test_new_protocol(running: Running) -> None:
+    """Guards against EOF packets for a caller that asked for none."""
+    column = messages.Column('a', 8, 63, 0)
+    running.executor.answers[b'SELECT a'] = [
+        messages.ResultHeader(1, [column]),
+        messages.ResultRows(1, 0, [[b'5']]),
+        _end(row_messages=1, warnings=2),
+    ]
+    caller = await wire.RawCaller.connect(running.port)
+    assert (await caller.log_in(b'hire', extra=0x9000000))[0] == 0
+    attribute = b'\x01\x01\x00\x01\xfe\x00\x0amax_age_ms\x03500'
+    assert await running.ask(caller, b'%bSELECT a' % attribute) == b'\x01'
+    rest = [await caller.read() for _ in range(3)]
+    assert rest[1:] == [b'\x015', b'\xfe\x00\x00\x02\x00\x02\x00']
+    assert running.executor.seen[0].marks.max_age == 500
+    answer = await caller.ask(b'\x16INSERT ?, ?')
+    assert answer[7:9] == b'\x02\x00'
+    for _ in range(2):
+        assert b'?' in await caller.read()
+    assert (await caller.ask(b'\x0e'))[0] == 0
+
+
 async def test_bad_callers(running: Running) -> None:
     """Guards against a bad caller that disturbs others or gets no error."""
     good = await running.raw()
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -57,15 +57,18 @@
         self.send(payload)
         return await self.read()
 
-    async def log_in(self, database: bytes, user: bytes = b'u') -> bytes:
+    async def log_in(
+        self, database: bytes, user: bytes = b'u', extra: int = 0
+    ) -> bytes:
         """Shake hands.
 
         :param database: The default database.
         :param user: The user.
+        :param extra: More capabilities.
         :returns: The answer.
         """
         await self.read()
-        head = struct.pack('<IIB23x', _CAPABILITIES, 1 << 24, 45)
+        head = struct.pack('<IIB23x', _CAPABILITIES | extra, 1 << 24, 45)
         tail = b'%b\x00\x00%b\x00mysql_native_password\x00' % (user, database)
         self.send(b''.join((head, tail)), 1)
         return await self.read()
