--- a/tests/test_frontends.py
+++ b/tests/test_frontends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import pathlib
 import re
 import ssl
@@ -18,6 +19,7 @@
 from monsoonproxy import (
     bindings,
     frontends,
+    handshakes,
     identities,
     messages,
     packets,
@@ -26,12 +28,15 @@
     tokens,
 )
 from monsoonproxy.clock import Millis
+from monsoonproxy.exceptions import StatementError
 from monsoonproxy.models import Position
+from monsoonproxy.streams import PacketError
 from tests import wire
 from tests.fixtures import fixture, load_functions
 
 load_tests = load_functions(__name__)
 
+_UNSIGNED = st.integers(0, 2**64 - 1)
 _SECRET = b'0123456789abcdef0123456789abcdef'
 
 
@@ -57,6 +62,7 @@
     answers: dict[bytes, list[messages.Reply | None]] = attrs.Factory(dict)
     seen: list[statements.Statement] = attrs.Factory(list)
     events: asyncio.Queue[str] = attrs.Factory(asyncio.Queue)
+    yielded: int = 0
 
     def known(self, service: str) -> bool:
         return service.startswith('hire')
@@ -73,6 +79,7 @@
             if reply is None:
                 await asyncio.Event().wait()
             else:
+                self.yielded += 1
                 yield reply
 
     def cancel(self, session: sessions.Session) -> None:
@@ -100,7 +107,7 @@
 
     async def ask(self, caller: wire.RawCaller, sql: bytes) -> bytes:
         """Send a text statement."""
-        return await caller.ask(b'\x03' + sql)
+        return await caller.ask(b'\x03%b' % sql)
 
     async def in_thread(self, call: Callable[..., Any], **options: Any) -> Any:
         """Call a function with a PyMySQL connection in a thread."""
@@ -161,12 +168,12 @@
 async def test_binary_rows(running: Running) -> None:
     """Guards against a value that the binary protocol changes."""
     cells = {
-        (0x01, 0): (b'-5', b'\xfb'),
-        (0x08, 0x20): (b'18446744073709551615', b'\xff' * 8),
-        (0x05, 0): (b'0.1', struct.pack('<d', 0.1)),
-        (0x0C, 0): (b'2026-12-04 00:00:00', b'\x04\xea\x07\x0c\x04'),
-        (0x0A, 0): (b'0000-00-00', b'\x00'),
-        (0x0B, 0): (
+        (1, 0): (b'-5', b'\xfb'),
+        (8, 0x20): (b'18446744073709551615', b'\xff' * 8),
+        (5, 0): (b'0.1', struct.pack('<d', 0.1)),
+        (12, 0): (b'2026-12-04 00:00:00', b'\x04\xea\x07\x0c\x04'),
+        (10, 0): (b'0000-00-00', b'\x00'),
+        (11, 0): (
             b'-25:00:01.5',
             b'\x0c\x01\x01\x00\x00\x00\x01\x00\x01\x20\xa1\x07\x00',
         ),
@@ -185,10 +192,10 @@
     for _ in range(9):
         await caller.read()
     packed = b''.join(packed for _text, packed in cells.values())
-    assert await caller.read() == b'\x00\x00\x02' + packed
+    assert await caller.read() == b'\x00\x00\x02%b' % packed
 
 
-@given(st.binary(max_size=300), st.text(max_size=50), st.integers(0, 2**64 - 1))
+@given(st.binary(max_size=300), st.text(max_size=50), _UNSIGNED)
 def test_parameters(blob: bytes, text: str, number: int) -> None:
     """Guards against a parameter that changes on its way into the text."""
     raw = text.encode()
@@ -202,10 +209,12 @@
     head = b'\x00\x01\x00\x00\x00\x08\x01\xfc\x00\xfd\x00\x08\x80\x06\x00'
     prepared = bindings.Prepared(statements.split(b"S '?' ?,?,?,?"))
     sql, _ = bindings.read_execution(
-        bindings.Reader(head + fields), prepared, with_attributes=False
+        bindings.Reader(b''.join((head, fields))),
+        prepared,
+        with_attributes=False,
     )
     binary = b"_binary X'%b'" % blob.hex().encode()
-    start = b"S '?' " + binary + b",'"
+    start = b"S '?' %b,'" % binary
     end = b"',%d,NULL" % number
     assert sql.startswith(start)
     assert sql.endswith(end)
@@ -221,15 +230,15 @@
 async def test_parameter_types(running: Running) -> None:
     """Guards against dates, numbers and broken text that change."""
     caller = await running.raw()
-    number = await caller.prepare(b'INSERT ' + b','.join([b'?'] * 7))
+    number = await caller.prepare(b'INSERT ?,?,?,?,?,?,?')
     answer = await caller.execute(number, [
-        (0x05, struct.pack('<d', 1)),
-        (0x01, b'\xfe'),
-        (0x0C, b'\x07\xea\x07\x0c\x04\x01\x02\x03'),
-        (0x0B, b'\x08\x01\x01\x00\x00\x00\x02\x03\x04'),
+        (5, struct.pack('<d', 1)),
+        (1, b'\xfe'),
+        (12, b'\x07\xea\x07\x0c\x04\x01\x02\x03'),
+        (11, b'\x08\x01\x01\x00\x00\x00\x02\x03\x04'),
         (0xFD, b'\x01\xff'),
         (0xF6, b'\x041.50'),
-        (0x08, None),
+        (8, None),
     ])  # fmt: skip
     assert answer[0] == 0
     assert running.executor.texts() == [
@@ -269,14 +278,16 @@
 async def test_caller_goes(running: Running) -> None:
     """Guards against work that goes on for a caller that has gone."""
     column = messages.Column('a', 0xFD, 255, 0)
-    big = messages.ResultRows(1, 0, [[b'x' * 100_000]] * 10)
+    big = messages.ResultRows(
+        1, 0, list(itertools.repeat([bytes(100_000)], 10))
+    )
     running.executor.answers[b'SELECT a'] = [
-        messages.ResultHeader(1, [column]), *([big] * 100),
+        messages.ResultHeader(1, [column]), *itertools.repeat(big, 100),
     ]  # fmt: skip
     running.executor.answers[b'SELECT b'] = [None]
     for sql in (b'SELECT a', b'SELECT b'):
         caller = await running.raw()
-        caller.send(b'\x03' + sql)
+        caller.send(b'\x03%b' % sql)
         while running.executor.texts()[-1:] != [sql]:
             await asyncio.sleep(0)
         caller.writer.transport.abort()
@@ -285,6 +296,51 @@
     assert not running.frontend.connections
 
 
+async def test_slow_reader(running: Running) -> None:
+    """Guards against an answer that piles up in memory."""
+    column = messages.Column('a', 0xFC, 63, 0)
+    rows = messages.ResultRows(1, 0, [[bytes(1_000_000)]])
+    running.executor.answers[b'SELECT a'] = [
+        messages.ResultHeader(1, [column]),
+        *itertools.repeat(rows, 500),
+        _end(row_messages=500),
+    ]
+    caller = await running.raw()
+    connection = next(iter(running.frontend.connections))
+    caller.send(b'\x03SELECT a')
+    while connection.stream._writer is None:
+        await asyncio.sleep(0)
+    for _ in range(1000):
+        await asyncio.sleep(0)
+    # The caller's and the system's buffers hold a few of the 500 rows.
+    assert running.executor.yielded < 100
+    for _ in range(503):
+        assert len(await caller.read()) < 1_000_100
+    assert (await caller.read())[0] == 0xFE
+
+
+async def test_new_protocol(running: Running) -> None:
+    """Guards against EOF packets for a caller that asked for none."""
+    column = messages.Column('a', 8, 63, 0)
+    running.executor.answers[b'SELECT a'] = [
+        messages.ResultHeader(1, [column]),
+        messages.ResultRows(1, 0, [[b'5']]),
+        _end(row_messages=1, warnings=2),
+    ]
+    caller = await wire.RawCaller.connect(running.port)
+    assert (await caller.log_in(b'hire', extra=0x9000000))[0] == 0
+    attribute = b'\x01\x01\x00\x01\xfe\x00\x0amax_age_ms\x03500'
+    assert await running.ask(caller, b'%bSELECT a' % attribute) == b'\x01'
+    rest = [await caller.read() for _ in range(3)]
+    assert rest[1:] == [b'\x015', b'\xfe\x00\x00\x02\x00\x02\x00']
+    assert running.executor.seen[0].marks.max_age == 500
+    answer = await caller.ask(b'\x16INSERT ?, ?')
+    assert answer[7:9] == b'\x02\x00'
+    for _ in range(2):
+        assert b'?' in await caller.read()
+    assert (await caller.ask(b'\x0e'))[0] == 0
+
+
 async def test_bad_callers(running: Running) -> None:
     """Guards against a bad caller that disturbs others or gets no error."""
     good = await running.raw()
@@ -300,7 +356,12 @@
         assert await caller.closed()
     stranger = await wire.RawCaller.connect(running.port)
     assert wire.error_code(await stranger.log_in(b'other')) == 1049
-    large = await running.raw()
+    assert (await running.ask(good, b'INSERT'))[0] == 0
+
+
+async def test_large_packet(running: Running) -> None:
+    """Guards against a packet that fills the memory."""
+    good, large = await running.raw(), await running.raw()
     large.writer.write(b'\xff\xff\xff\x00')
     assert wire.error_code(await large.read()) == 1153
     assert await large.closed()
@@ -334,8 +395,8 @@
         tls.do_handshake()
     caller = await wire.RawCaller.connect(port)
     await caller.read()
-    request = struct.pack('<IIB23x', 0x0000AA00, 1 << 24, 45)
-    caller.writer.write(b'\x20\x00\x00\x01' + request + outgoing.read())
+    request = struct.pack('<IIB23x', 0xAA00, 1 << 24, 45)
+    caller.writer.writelines((b'\x20\x00\x00\x01', request, outgoing.read()))
     assert (await caller.reader.readexactly(1)) == b'\x16'
 
 
@@ -351,6 +412,7 @@
         (b'USE other', 1049),
         (b'SET sql_mode = ANSI', 1235),
         (b'KILL 5', 1235),
+        (b"SET GROUP TERM 9 CANDIDATE 'a'", 1235),
         (b' ', 1065),
     ):
         assert wire.error_code(await running.ask(caller, sql)) == code, sql
@@ -378,7 +440,7 @@
     )
     async with conn.cursor() as cursor:
         await cursor.execute('SET @@monsoonproxy_token = %s', (token,))
-    (connection,) = running.frontend.connections
+    connection = next(iter(running.frontend.connections))
     assert connection.state.floor == Position(3, 40)
     await conn.ensure_closed()
 
@@ -413,7 +475,7 @@
         answer = await caller.ask(command)
         assert answer[:5] == b'\x00\x00\x00\x02\x00'
         assert await running.executor.events.get() == 'close'
-    (connection,) = running.frontend.connections
+    connection = next(iter(running.frontend.connections))
     assert connection.state.service == 'hire-2'
 
 
@@ -452,6 +514,21 @@
     await drained
 
 
+async def test_drain_limit(running: Running) -> None:
+    """Guards against a transaction that holds up a shutdown for ever."""
+    busy = await running.raw()
+    await running.ask(busy, b'BEGIN')
+    drained = asyncio.create_task(running.frontend.drain())
+    await asyncio.sleep(0)
+    late = await wire.RawCaller.connect(running.port)
+    assert wire.error_code(await late.read()) == 1053
+    running.frontend.end_transactions()
+    assert b'the transaction was rolled back' in await busy.read()
+    busy.writer.close()
+    await drained
+    assert running.executor.events.get_nowait() == 'close'
+
+
 async def test_connection_limit(running: Running) -> None:
     """Guards against more connections than the limit."""
     running.frontend.limits = frontends.Limits(connections=1)
@@ -459,3 +536,98 @@
     second = await wire.RawCaller.connect(running.port)
     assert wire.error_code(await second.read()) == 1040
     assert (await running.ask(first, b'INSERT'))[0] == 0
+
+
+async def test_local_answers(running: Running) -> None:
+    """Guards against a driver that can't connect or gets wrong settings."""
+    running.executor.answers[b'INSERT'] = [_end(insert_id=9, warnings=2)]
+    expected = {
+        'SELECT @@session.sql_mode AS a, DATABASE(), @@autocommit LIMIT 1': (
+            ('STRICT_TRANS_TABLES', 'hire', '1'),
+        ),
+        "SHOW VARIABLES LIKE 'lower_case%'": (('lower_case_table_names', '0'),),
+        "SHOW VARIABLES WHERE Variable_name IN ('autocommit')": (
+            ('autocommit', '1'),
+        ),
+        'SELECT LAST_INSERT_ID()': (('9',),),
+        'SHOW WARNINGS': (
+            ('Note', '1105', '2 warnings; their text is not kept'),
+        ),
+    }
+
+    def call(conn: pymysql.Connection) -> dict[str, tuple[Any, ...]]:
+        with conn.cursor() as cursor:
+            cursor.execute('SET NAMES utf8mb4 COLLATE utf8mb4_general_ci')
+            cursor.execute("SET time_zone = '+00:00', wait_timeout = 5")
+            cursor.execute('SET @@monsoonproxy_max_age_ms = 700')
+            cursor.execute('INSERT')
+            found = {}
+            for sql in expected:
+                cursor.execute(sql)
+                found[sql] = cursor.fetchall()
+            return found
+
+    assert await running.in_thread(call) == expected
+    assert [known.marks.max_age for known in running.executor.seen] == [700]
+
+
+async def test_large_values(running: Running) -> None:
+    """Guards against values of more than one frame that break."""
+    running.frontend.limits = frontends.Limits()
+    column = messages.Column('a', 0xFC, 63, 0)
+    cells = [bytes(size) for size in (0xFFFFFF - 4, 0xFFFFFF, 17_000_000)]
+    running.executor.answers[b'SELECT a'] = [
+        messages.ResultHeader(1, [column]),
+        *(messages.ResultRows(1, 0, [[cell]]) for cell in cells),
+        _end(row_messages=3),
+    ]
+    large = b"INSERT '%b'" % bytes(17_000_000)
+
+    def call(conn: pymysql.Connection) -> list[bytes]:
+        conn.query(large)
+        with conn.cursor() as cursor:
+            cursor.execute('SELECT a')
+            return [row[0] for row in cursor.fetchall()]
+
+    options = {'max_allowed_packet': 64 * 1024 * 1024}
+    assert await running.in_thread(call, **options) == cells
+    assert running.executor.texts()[0] == large
+
+
+async def test_query_attributes() -> None:
+    """Guards against query attributes that are lost."""
+    content = b'\x02\x01\x02\x01\xfe\x00\x0amax_age_ms\x08\x00\x01x\x03500S'
+    assert bindings.read_query(content, with_attributes=True) == (
+        b'S',
+        {'max_age_ms': b'500', 'x': None},
+    )
+
+
+@given(st.binary(max_size=120))
+def test_malformed_packets(content: bytes) -> None:
+    """Guards against an unexpected error or an endless loop."""
+    offered = packets.CAPABILITIES
+    prepared = bindings.Prepared(statements.split(b'INSERT ?, ?'))
+    reads: tuple[Callable[[], Any], ...] = (
+        lambda: handshakes.read_login(offered, content),
+        lambda: handshakes.read_change(offered, content),
+        lambda: bindings.read_query(content, with_attributes=True),
+        lambda: bindings.read_execution(
+            bindings.Reader(content), prepared, with_attributes=True
+        ),
+    )
+    for read in reads:
+        with contextlib.suppress(PacketError, StatementError):
+            read()
+
+
+async def test_pipelined_commands(running: Running) -> None:
+    """Guards against commands that are lost when they come in one piece."""
+    caller = await running.raw()
+    count = 5000
+    sql = b'\x03INSERT'.ljust(100)
+    for _ in range(count):
+        caller.send(sql)
+    for _ in range(count):
+        assert (await caller.read())[0] == 0
+    assert (await running.ask(caller, b'INSERT'))[0] == 0
