Count the wait on the backend server before a statement is sent

Cause: a request close to its deadline was sent behind statements that were already waiting on the server, and was answered late; a later request could have used the slot. Ruled out: varying service times alone, since the slow estimate of the request itself was already counted.

--- a/monsoonproxy/admission.py
+++ b/monsoonproxy/admission.py
@@ -264,7 +264,7 @@
             self._times.mean(ticket.kind, ticket.shape),
         )
 
-    def _fits(self, entry: Entry, now: int, estimate: Estimate) -> bool:
+    def _fits(self, entry: Entry, now: float, estimate: Estimate) -> bool:
         ticket = entry.ticket
         service = estimate(ticket.kind, ticket.shape)
         return now + 2 * self._rules.hop + service <= ticket.deadline
@@ -294,12 +294,14 @@
         unsure = None
         for entry in self._startable(room):
             server = choose(entry.ticket, loads)
-            if server not in room:
+            if server is None or server not in room:
                 continue
-            if self._fits(entry, now, self._times.high):
-                return Start(entry.ticket, server)
-            if unsure is None and self._fits(entry, now, self._times.low):
-                unsure = Start(entry.ticket, server)
+            start = Start(entry.ticket, server)
+            begins = now + self._servers[server].wait(now)
+            if self._fits(entry, begins, self._times.high):
+                return start
+            if self._fits(entry, now, self._times.low):
+                unsure = unsure or start
         return unsure
 
     def _startable(self, room: set[str]) -> Iterator[Entry]:
--- a/monsoonproxy/slots.py
+++ b/monsoonproxy/slots.py
@@ -95,6 +95,16 @@
             for one in self._running.values()
         )
 
+    def wait(self, now: int) -> float:
+        """Estimate how long a new statement waits on the backend server.
+
+        :param now: The time.
+        :returns: The wait in ms.
+        """
+        if len(self._running) < self.slots or not self.slots:
+            return 0
+        return self.busy(now) / self.slots
+
     def load(self, mean: float) -> Load:
         """Return the load.
 
