Sum up the demand without a call per interval

Entries that can't be in time even if they run fast are left out before a server is chosen for them.

--- a/monsoonproxy/admission.py
+++ b/monsoonproxy/admission.py
@@ -292,23 +292,26 @@
             if server.room(2 * self._rules.hop, self._mean(name)) > 0
         }
         unsure = None
-        for entry in self._startable(room):
+        for entry in self._startable(room, now):
             server = choose(entry.ticket, loads)
             if server is None or server not in room:
                 continue
-            start = Start(entry.ticket, server)
             begins = now + self._servers[server].wait(now)
             if self._fits(entry, begins, self._times.high):
-                return start
-            if self._fits(entry, now, self._times.low):
-                unsure = unsure or start
+                return Start(entry.ticket, server)
+            if unsure is None:
+                unsure = Start(entry.ticket, server)
         return unsure
 
-    def _startable(self, room: set[str]) -> Iterator[Entry]:
+    def _startable(self, room: set[str], now: Millis) -> Iterator[Entry]:
+        entries: list[Entry] = []
         if self._primary in room:
-            yield from self._backlog.own.first(self._rules.scan)
+            entries += self._backlog.own.first(self._rules.scan)
         if room:
-            yield from self._backlog.shared.first(self._rules.scan)
+            entries += self._backlog.shared.first(self._rules.scan)
+        for entry in entries:
+            if self._fits(entry, now, self._times.low):
+                yield entry
 
     def _mean(self, server: str) -> float:
         kind = StatementKind.READ
--- a/monsoonproxy/backlog.py
+++ b/monsoonproxy/backlog.py
@@ -1,6 +1,9 @@
 """Waiting requests, and whether they fit before their deadlines."""
 
+import bisect
 import math
+from itertools import accumulate, repeat
+from operator import add
 
 import attrs
 
@@ -55,43 +58,6 @@
     shared: bool
 
 
-class _Left:
-    """Adds up work and tells by how much it exceeds a capacity."""
-
-    def __init__(self, capacity: Capacity, scale: float) -> None:
-        self._rate = capacity.slots * scale
-        self._work = capacity.busy
-
-    def after(self, work: float, remaining: float) -> float:
-        self._work += work
-        return self._work - self._rate * remaining
-
-
-class _Judge:
-    """Tells whether a new entry contributes to a shortage.
-
-    A new read does if the reads overflow to the primary by more with it than
-    without it. Any new entry that only the primary may serve does.
-    """
-
-    def __init__(self, entry: Entry | None, shared: bool) -> None:
-        self._since = entry.ticket.deadline if entry else 0
-        self._cost = entry.cost if entry and shared else 0
-        self._shared = shared
-        self._without: float = 0
-        self.overflow: float = 0
-
-    def add(self, due: int, excess: float) -> None:
-        self.overflow = max(self.overflow, excess)
-        without = excess - self._cost if due > self._since else excess
-        self._without = max(self._without, without)
-
-    def contributes(self, due: int) -> bool:
-        if self._shared:
-            return self.overflow > self._without
-        return due > self._since
-
-
 class Backlog:
     """Waiting requests: those for the primary only, and those for any server.
 
@@ -205,22 +171,36 @@
         found not to fit. With an entry, only a shortage counts to which that
         entry contributes.
         """
-        own = self.own.demand()
-        shared = self.shared.demand()
-        own_left = _Left(outlook.primary, 1 + tolerance)
-        shared_left = _Left(outlook.replicas, 1 + tolerance)
-        judge = _Judge(entry, entry is not None and self._is_shared(entry))
-        for due in sorted(own.keys() | shared.keys()):
-            remaining = max(0, due - outlook.start)
-            excess = shared_left.after(shared.get(due, 0), remaining)
-            judge.add(due, excess)
-            short = own_left.after(own.get(due, 0), remaining) + judge.overflow
-            if short > 0 and judge.contributes(due):
-                return Shortage(due, judge.overflow > 0)
-        return None
-
-    def _is_shared(self, entry: Entry) -> bool:
-        return self.lane(entry.ticket) is self.shared
+        dues = sorted(self.own.work.keys() | self.shared.work.keys())
+        times = [max(0, due - outlook.start) * (1 + tolerance) for due in dues]
+        reads = _excess(self.shared, dues, times, outlook.replicas)
+        writes = _excess(self.own, dues, times, outlook.primary)
+        overflow = _running_max(reads)
+        short = [
+            index
+            for index, excess in enumerate(map(add, writes, overflow))
+            if excess > 0
+        ]
+        if entry is not None and short:
+            needed = self._needed(entry, dues, reads)
+            short = [one for one in short if overflow[one] > needed[one]]
+        if not short:
+            return None
+        return Shortage(dues[short[0]], overflow[short[0]] > 0)
+
+    def _needed(
+        self, entry: Entry, dues: list[int], reads: list[float]
+    ) -> list[float]:
+        """Return the overflow above which the entry contributes.
+
+        A read contributes where the overflow is greater with it than without
+        it. An entry for the primary contributes at all later deadlines.
+        """
+        since = bisect.bisect_right(dues, entry.ticket.deadline)
+        if self.lane(entry.ticket) is self.own:
+            return [math.inf if one < since else -1 for one in range(len(dues))]
+        without = [one - entry.cost for one in reads[since:]]
+        return _running_max(reads[:since] + without)
 
     def _victim(
         self, shortage: Shortage | None, below: float, spared: int
@@ -240,3 +220,20 @@
 
 
 _FAR = 1 << 62
+
+
+def _excess(
+    lane: Lane, dues: list[int], times: list[float], capacity: Capacity
+) -> list[float]:
+    """Return by how much the work due at each time exceeds the capacity."""
+    work = map(lane.work.get, dues, repeat(0))
+    done = list(accumulate(work, initial=capacity.busy))[1:]
+    return [
+        total - capacity.slots * time
+        for total, time in zip(done, times, strict=True)
+    ]
+
+
+def _running_max(numbers: list[float]) -> list[float]:
+    start: float = 0
+    return list(accumulate(numbers, max, initial=start))[1:]
--- a/monsoonproxy/queues.py
+++ b/monsoonproxy/queues.py
@@ -61,7 +61,8 @@
         self._width = width
         self._order: list[tuple[int, int]] = []
         self._entries: dict[int, Entry] = {}
-        self._work: dict[int, float] = {}
+        #: Work in ms per end of an interval of deadlines.
+        self.work: dict[int, float] = {}
         self._counts: dict[int, int] = {}
         self._by_weight: dict[float, dict[int, Entry]] = {}
         self.total: float = 0
@@ -94,10 +95,10 @@
         :param entry: The entry.
         """
         ticket = entry.ticket
-        key = ticket.deadline // self._width
+        key = self._due(ticket.deadline)
         bisect.insort(self._order, (ticket.deadline, ticket.number))
         self._entries[ticket.number] = entry
-        self._work[key] = self._work.get(key, 0) + entry.cost
+        self.work[key] = self.work.get(key, 0) + entry.cost
         self._counts[key] = self._counts.get(key, 0) + 1
         self._by_weight.setdefault(entry.weight, {})[ticket.number] = entry
         self.total += entry.cost
@@ -116,12 +117,12 @@
         deadline = entry.ticket.deadline
         index = bisect.bisect_left(self._order, (deadline, number))
         self._order.pop(index)
-        key = deadline // self._width
+        key = self._due(deadline)
         self._counts[key] -= 1
-        self._work[key] -= entry.cost
+        self.work[key] -= entry.cost
         if not self._counts[key]:
             self._counts.pop(key)
-            self._work.pop(key)
+            self.work.pop(key)
         return entry
 
     def first(self, count: int) -> list[Entry]:
@@ -152,11 +153,5 @@
                 return entry
         return None
 
-    def demand(self) -> dict[int, float]:
-        """Return the summed work.
-
-        :returns: Work in ms per end of the interval of deadlines.
-        """
-        return {
-            (key + 1) * self._width: work for key, work in self._work.items()
-        }
+    def _due(self, deadline: int) -> int:
+        return (deadline // self._width + 1) * self._width
