Give up only reads that reduce a shortage

Cause: a small overflow at an early deadline marked a shortage of the writes as one of the reads too; all reads up to the later deadline were then given up, 850 at once, and the replicas stood idle. Ruled out: a jump of the estimated service time (4.2 ms) and real overload. Refusals whose deadline is after the end of a run no longer count as wrong, because nothing is known about the slots then.

--- a/emulator/burst_figures.py
+++ b/emulator/burst_figures.py
@@ -80,29 +80,37 @@
     :returns: Figures by name.
     """
     during = [one for one in requests if burst[0] <= one.arrived < burst[1]]
+    in_time = [one for one in during if one.in_time]
+    late = [one for one in requests if one.answered and not one.in_time]
+    wrong = wrong_refusals(requests)
+    late_writes = [one for one in late if one.name == CONFIRMATION]
+    return {
+        'requests': len(during),
+        **_value(during, size),
+        'share_in_time': round(len(in_time) / len(during), 4),
+        'late': len(late),
+        'late_confirmations': len(late_writes),
+        'stale': len([one for one in requests if one.stale]),
+        'refused': _refused(during),
+        'wrong_refusals': sum(wrong.values()),
+        'wrong': wrong,
+        'most_tries': max(one.tries for one in requests),
+        'back_to_normal_ms': round(back_to_normal(requests, burst)),
+    }
+
+
+def _value(during: list[Request], size: Deployment) -> dict[str, float]:
     value = sum(one.weight for one in during if one.in_time)
+    if any(one.tries > 1 for one in during):
+        # The bound knows one deadline per request only.
+        return {'value': value}
     bound = best_value(during, size, exact=False)
     exact = best_value(during, size, exact=True)
-    wrong = wrong_refusals(requests)
-    late = [one for one in requests if one.answered and not one.in_time]
     return {
-        'requests': len(during),
         'value': value,
         'bound': round(bound),
         'of_bound': round(value / bound, 4),
         'of_bound_known_times': round(value / exact, 4),
-        'share_in_time': round(
-            sum(1 for one in during if one.in_time) / len(during), 4
-        ),
-        'late': len(late),
-        'late_confirmations': sum(
-            1 for one in late if one.name == CONFIRMATION
-        ),
-        'stale': sum(1 for one in requests if one.stale),
-        'refused_by_class': _refused(during),
-        'wrong_refusals': sum(wrong.values()),
-        'wrong': wrong,
-        'back_to_normal_ms': round(back_to_normal(requests, burst)),
     }
 
 
@@ -180,7 +188,8 @@
         elif running == 2:
             idle_since = time
         running += change
-    gaps.append((idle_since, math.inf))
+    # Nothing is known about the time after the run.
+    gaps.append((idle_since, max(one.ended for one in requests)))
     return [gap for gap in gaps if gap[1] - gap[0] >= _SHORT]
 
 
--- a/monsoonproxy/backlog.py
+++ b/monsoonproxy/backlog.py
@@ -50,12 +50,42 @@
 class Shortage:
     """More work is due by a time than can be done.
 
-    :param due: The end of the interval of deadlines.
-    :param shared: Whether giving up reads for replicas helps.
+    :param due: Giving up work for the primary with at most this deadline
+        helps.
+    :param shared_due: Giving up reads for replicas with at most this deadline
+        helps; 0 if none does.
     """
 
     due: int
-    shared: bool
+    shared_due: int
+
+
+@attrs.frozen
+class _Profile:
+    """Demand and capacity per interval of deadlines.
+
+    :param keys: The intervals.
+    :param dues: Their last deadlines.
+    :param reads: Work by which the reads exceed the replicas' capacity.
+    :param overflow: The greatest such excess so far, at least 0.
+    :param excess: Work by which the primary's capacity is exceeded.
+    """
+
+    keys: list[int]
+    dues: list[int]
+    reads: list[float]
+    overflow: list[float]
+    excess: list[float]
+
+    def shortage(self, index: int) -> Shortage:
+        """Describe the shortage in one interval.
+
+        Reads help only if they are due before the overflow was at its
+        greatest; giving up later ones would leave it as it is.
+        """
+        overflow = self.overflow[index]
+        peak = self.dues[self.overflow.index(overflow)]
+        return Shortage(self.dues[index], peak if overflow > 0 else 0)
 
 
 class Backlog:
@@ -171,52 +201,50 @@
         found not to fit. With an entry, only a shortage counts to which that
         entry contributes.
         """
+        profile = self._profile(outlook, tolerance)
+        overflow = profile.overflow
+        short = [index for index, one in enumerate(profile.excess) if one > 0]
+        if entry is not None and short:
+            needed = self._needed(entry, profile)
+            short = [one for one in short if overflow[one] > needed[one]]
+        return profile.shortage(short[0]) if short else None
+
+    def _profile(self, outlook: Outlook, tolerance: float) -> _Profile:
         keys = sorted(self.own.work.keys() | self.shared.work.keys())
         dues = list(map(self._due, keys))
         times = [max(0, due - outlook.start) * (1 + tolerance) for due in dues]
         reads = _excess(self.shared, keys, times, outlook.replicas)
         writes = _excess(self.own, keys, times, outlook.primary)
         overflow = _running_max(reads)
-        short = [
-            index
-            for index, excess in enumerate(map(add, writes, overflow))
-            if excess > 0
-        ]
-        if entry is not None and short:
-            needed = self._needed(entry, keys, reads)
-            short = [one for one in short if overflow[one] > needed[one]]
-        if not short:
-            return None
-        return Shortage(dues[short[0]], overflow[short[0]] > 0)
+        excess = list(map(add, writes, overflow))
+        return _Profile(keys, dues, reads, overflow, excess)
 
     def _due(self, key: int) -> int:
         last = self.own.last.get(key, 0), self.shared.last.get(key, 0)
         return max(last)
 
-    def _needed(
-        self, entry: Entry, keys: list[int], reads: list[float]
-    ) -> list[float]:
+    def _needed(self, entry: Entry, profile: _Profile) -> list[float]:
         """Return the overflow above which the entry contributes.
 
         A read contributes where the overflow is greater with it than without
         it. An entry for the primary contributes at all later deadlines.
         """
+        keys = profile.keys
         since = bisect.bisect_left(keys, self.own.interval(entry.ticket))
         if self.lane(entry.ticket) is self.own:
             return [math.inf if one < since else -1 for one in range(len(keys))]
-        without = [one - entry.cost for one in reads[since:]]
-        return _running_max(reads[:since] + without)
+        without = [one - entry.cost for one in profile.reads[since:]]
+        return _running_max(profile.reads[:since] + without)
 
     def _victim(
         self, shortage: Shortage | None, below: float, spared: int
     ) -> Entry | None:
         """Choose an entry of least weight, the last one that came."""
-        lanes = [self.own, self.shared]
-        due = _FAR
-        if shortage is not None:
-            due = shortage.due
-            lanes = lanes if shortage.shared else [self.own]
-        found = [lane.cheapest(due, below, spared) for lane in lanes]
+        limits = shortage or Shortage(_FAR, _FAR)
+        found = (
+            self.own.cheapest(limits.due, below, spared),
+            self.shared.cheapest(limits.shared_due, below, spared),
+        )
         return min(
             (entry for entry in found if entry is not None),
             key=lambda entry: (entry.weight, -entry.ticket.arrived),
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -13,9 +13,10 @@
     RefusalReason,
     Refused,
 )
+from monsoonproxy.backlog import Backlog, Capacity, Outlook
 from monsoonproxy.clock import Millis
 from monsoonproxy.models import CONFIRMATION, ENQUIRY, StatementKind
-from monsoonproxy.queues import Ticket
+from monsoonproxy.queues import Entry, Ticket
 from monsoonproxy.routing import Load
 from tests.fixtures import load_functions
 
@@ -226,3 +227,16 @@
     assert isinstance(admission.offer(write, Millis(0)), Refused)
     assert admission.expired(Millis(0)) == []
     assert len(admission) == before
+
+
+def test_only_helpful_requests_given_up() -> None:
+    """Guards against all reads given up for a shortage they don't cause."""
+    backlog = Backlog(width=40, limit=1000)
+    for number in range(100):
+        # 9 reads exceed the replicas' 40 ms before 10; 50 later ones fit.
+        deadline = 10 if number < 9 else 95
+        write = number >= 59
+        ticket = _ticket(number, 100 if write else deadline, write)
+        backlog.add(Entry(ticket, 2 if write else 1, 5))
+    victims = backlog.shed(Outlook(Capacity(2), Capacity(4), 0), 0)
+    assert [victim.ticket.deadline for victim in victims] == [10, 100]
