--- a/monsoonproxy/admission.py
+++ b/monsoonproxy/admission.py
@@ -54,7 +54,7 @@
     initial_service: float = 2
     smoothing: float = 0.05
     max_shapes: int = 256
-    width: int = 10
+    width: int = 40
     scan: int = 32
     tolerance: float = 0.02
     retry_spread: float = 0.5
@@ -272,7 +272,7 @@
             self._times.mean(ticket.kind, ticket.shape),
         )
 
-    def _fits(self, entry: Entry, now: int, estimate: Estimate) -> bool:
+    def _fits(self, entry: Entry, now: float, estimate: Estimate) -> bool:
         ticket = entry.ticket
         service = estimate(ticket.kind, ticket.shape)
         return now + 2 * self._rules.hop + service <= ticket.deadline
@@ -300,21 +300,26 @@
             if server.room(2 * self._rules.hop, self._mean(name)) > 0
         }
         unsure = None
-        for entry in self._startable(room):
+        for entry in self._startable(room, now):
             server = choose(entry.ticket, loads)
-            if server not in room:
+            if server is None or server not in room:
                 continue
-            if self._fits(entry, now, self._times.high):
+            begins = now + self._servers[server].wait(now)
+            if self._fits(entry, begins, self._times.high):
                 return Start(entry.ticket, server)
-            if unsure is None and self._fits(entry, now, self._times.low):
+            if unsure is None:
                 unsure = Start(entry.ticket, server)
         return unsure
 
-    def _startable(self, room: set[str]) -> Iterator[Entry]:
+    def _startable(self, room: set[str], now: Millis) -> Iterator[Entry]:
+        entries: list[Entry] = []
         if self._primary in room:
-            yield from self._backlog.own.first(self._rules.scan)
+            entries += self._backlog.own.first(self._rules.scan)
         if room:
-            yield from self._backlog.shared.first(self._rules.scan)
+            entries += self._backlog.shared.first(self._rules.scan)
+        for entry in entries:
+            if self._fits(entry, now, self._times.low):
+                yield entry
 
     def _mean(self, server: str) -> float:
         kind = StatementKind.READ
