--- /dev/null
+++ b/monsoonproxy/server.py
@@ -0,0 +1,197 @@
+"""The parts of a daemon and their supervisor tree."""
+
+import asyncio
+import json
+import random
+import secrets
+import signal
+from typing import Any
+
+from aiohttp import web
+
+from monsoonproxy import adapters, databases, keys, platforms
+from monsoonproxy.claims import TermClaims
+from monsoonproxy.clock import Clock, seconds
+from monsoonproxy.configuration import Configuration
+from monsoonproxy.control import Control
+from monsoonproxy.credentials import key_ring, tls_context
+from monsoonproxy.dispatch import Dispatch
+from monsoonproxy.entry import Entry
+from monsoonproxy.exceptions import SettingsError
+from monsoonproxy.exposition import Collector, serve
+from monsoonproxy.frontends import Frontend
+from monsoonproxy.groups import candidate_name
+from monsoonproxy.hosting import Hosting
+from monsoonproxy.links import Links
+from monsoonproxy.logs import log_for
+from monsoonproxy.metrics import Metrics
+from monsoonproxy.models import Host
+from monsoonproxy.peers import Authenticator, Listener
+from monsoonproxy.settings import Settings
+from monsoonproxy.supervisors import Restart, RestartRule, Supervisor
+from monsoonproxy.tokens import Signer
+
+_log = log_for('daemon')
+
+#: Importing these modules fills the registries of adapters.
+ADAPTER_MODULES = (databases, platforms)
+_DRAIN_INTERVAL = 20
+#: Time in ms between two looks at the key file.
+_KEY_CHECK = 2_000
+#: A task that has nothing left to do may return.
+_ONCE = RestartRule(restart=Restart.TRANSIENT)
+
+
+class Daemon:
+    """Wires the parts of a daemon and runs their supervisor tree.
+
+    The tree: ``daemon`` owns ``listener``, ``control``, ``senders`` and the
+    supervisors ``links`` (one task per peer) and ``services`` (two tasks per
+    held service).
+
+    :param settings: The daemon's settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        clock = Clock()
+        rng = random.Random(secrets.randbits(64))
+        own = settings.peer_address
+        self.settings = settings
+        self._clock = clock
+        self._root = Supervisor('daemon', clock)
+        self._link_tasks = Supervisor('links', clock)
+        self._service_tasks = Supervisor('services', clock)
+        candidate = candidate_name(own, rng)
+        platform = adapters.platforms.get(settings.platform)(
+            settings.platform_url
+        )
+        self._platform = platform
+        ring = key_ring(settings, clock)
+        self._signer = Signer(ring.tokens)
+        self._authenticator = Authenticator(ring.peers) if ring.peers else None
+        self._links = Links(
+            own,
+            candidate.encode(),
+            self._link_tasks,
+            handler=lambda peer, reply: self._dispatch.reply(peer, reply),
+            lost=lambda peer: self._dispatch.lost(peer),
+            keys=ring.peers,
+        )
+        self.control = Control(settings, self._links, platform, clock, rng)
+        claims = TermClaims(platform, candidate)
+        self.hosting = Hosting(own, claims, self._service_tasks, clock, rng)
+        self.metrics = Metrics(clock)
+        self.entry = Entry(
+            self._links, self.hosting.holders_of, self.metrics.record, clock
+        )
+        self._dispatch = Dispatch(
+            own, self.entry, self.hosting, self.control, self._operate
+        )
+        self._links.local = self._dispatch.local
+        self._listener = Listener(own, self._dispatch.request, ring.peers)
+        self._dispatch.listener = self._listener
+        self.frontend = Frontend(self.entry, self._signer)
+        self.control.on_configuration = self._configured
+        self.control.on_hosts = self._hosts_changed
+        self._stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then shut down gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        self._start_tasks()
+        host, port = self.settings.listen_address.rsplit(':', 1)
+        await self.frontend.start(host, int(port), tls_context(self.settings))
+        metrics = await self._serve_metrics()
+        _log.info('Accepting callers on {}', self.settings.listen_address)
+        running = asyncio.create_task(self._root.run())
+        stopping = asyncio.create_task(self._stopping.wait())
+        await asyncio.wait(
+            {running, stopping}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not running.done():
+            await self._shut_down()
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        if metrics is not None:
+            await metrics.cleanup()
+        await self._platform.close()
+
+    def _start_tasks(self) -> None:
+        root = self._root
+        root.start_child('links', self._link_tasks.run)
+        root.start_child('services', self._service_tasks.run)
+        root.start_child('listener', self._listener.run)
+        root.start_child('control', self.control.run)
+        root.start_child('senders', self._dispatch.watch_senders)
+        root.start_child('keys', self._watch_keys, _ONCE)
+
+    async def _serve_metrics(self) -> web.AppRunner | None:
+        if self.settings.metrics_address is None:
+            return None
+        collector = Collector(self.metrics, self.status)
+        return await serve(collector, self.settings.metrics_address)
+
+    async def _shut_down(self) -> None:
+        """Finish requests in flight before the tasks are stopped."""
+        _log.info('Shutting down')
+        self.frontend.stop_accepting()
+        await self.control.say_goodbye()
+        limit = self.control.cfg.platform.shutdown_timeout
+        try:
+            async with asyncio.timeout(seconds(limit)):
+                await self.frontend.drain()
+                await self._finish_requests()
+                await self.hosting.stop()
+        except TimeoutError:
+            _log.warning('The shutdown ended with requests in flight')
+        _log.info('Shut down')
+
+    async def _finish_requests(self) -> None:
+        """Wait until no peer uses this daemon's holders any more."""
+        while any(holder.open_requests() for holder in self.hosting.all()):
+            await asyncio.sleep(seconds(_DRAIN_INTERVAL))
+
+    def _configured(self, cfg: Configuration) -> None:
+        self.entry.configure(cfg)
+        self.hosting.configure(cfg)
+
+    def _hosts_changed(self, hosts: tuple[Host, ...]) -> None:
+        self.hosting.place(hosts)
+
+    def _operate(self, topic: str) -> bytes:
+        """Answer an operator's request."""
+        if topic == 'drain':
+            self._stopping.set()
+        if topic == 'burn':
+            return json.dumps(self.metrics.counters()).encode()
+        return json.dumps(self.status(), default=str).encode()
+
+    def status(self) -> dict[str, Any]:
+        """Describe the daemon for operators.
+
+        :returns: Plain data for JSON.
+        """
+        return {
+            'address': self.settings.peer_address,
+            'availability_zone': self.settings.availability_zone,
+            'configuration_version': self.control.version,
+            'draining': self._stopping.is_set(),
+            'hosts': [host.address for host in self.control.hosts()],
+            'connected': sorted(self._links.connected()),
+            'open_requests': self.entry.open_requests(),
+            'stale_replies': self.entry.stale_replies,
+            'store_reads': self.control.store_reads,
+            'services': [holder.status() for holder in self.hosting.all()],
+        }
+
+    async def _watch_keys(self) -> None:
+        """Take new token keys into use when the key file changes."""
+        path = self.settings.key_file
+        while path is not None:
+            await asyncio.sleep(seconds(_KEY_CHECK))
+            try:
+                self._signer.keys = keys.load(path).tokens
+            except SettingsError as exc:
+                _log.error('The key file can not be used: {}', exc)
