--- a/monsoonproxy/holders.py
+++ b/monsoonproxy/holders.py
@@ -26,6 +26,7 @@
 from monsoonproxy.groups import Group
 from monsoonproxy.logs import log_for
 from monsoonproxy.models import StatementKind
+from monsoonproxy.recorded import RecordedWrites
 from monsoonproxy.routing import Load, ReadRequest, Route, WaitFor
 from monsoonproxy.transactions import Transactions
 
@@ -66,7 +67,10 @@
         self._clock = clock
         self._numbers = itertools.count(1)
         self._executor = Executor(group, clock)
-        self.transactions = Transactions(group, self._executor, clock)
+        self._recorded = RecordedWrites(group, self._executor, clock)
+        self.transactions = Transactions(
+            group, self._executor, self._recorded, clock
+        )
         self._admission = admission.Admission(_admission_rules(service), rng)
         budget = retries.RetryRules(ratio=service.retry_budget)
         self._budget = retries.RetryBudget(budget, clock.now())
@@ -386,6 +390,8 @@
             await self._executor.read(call, route)
         elif call.kind is StatementKind.BEGIN:
             await self.transactions.begin(call, server)
+        elif call.req.request_id is not None:
+            await self._recorded.write(call, server)
         else:
             await self._executor.write(call, server)
 
--- /dev/null
+++ b/monsoonproxy/recorded.py
@@ -0,0 +1,183 @@
+"""Runs writes with a request id at most once."""
+
+import contextlib
+
+import attrs
+
+from monsoonproxy import records
+from monsoonproxy.adapters import Answer, BackendConnection
+from monsoonproxy.backends import Lease
+from monsoonproxy.calls import Call
+from monsoonproxy.clock import Clock
+from monsoonproxy.exceptions import (
+    BackendError,
+    ConnectionLostError,
+    TermChangedError,
+)
+from monsoonproxy.executions import RETRY_AFTER, Executor, Transaction
+from monsoonproxy.groups import Group
+
+
+class RecordedWrites:
+    """Runs writes together with the records of their request ids.
+
+    :param group: The group.
+    :param executor: Runs the statements.
+    :param clock: Source of time.
+    """
+
+    def __init__(self, group: Group, executor: Executor, clock: Clock) -> None:
+        self._group = group
+        self._executor = executor
+        self._clock = clock
+
+    async def resolve(self, call: Call, broken: Lease | None = None) -> None:
+        """Answer a write by its record.
+
+        :param call: The request; it has a request id.
+        :param broken: The lease of the write if its connection broke.
+        """
+        try:
+            found = await self._look_up(call, broken)
+        except (ConnectionLostError, BackendError):
+            await call.unknown('the connection to the primary broke')
+            return
+        if found is None:
+            await call.refuse(
+                'the connection to the primary broke', RETRY_AFTER
+            )
+            return
+        await self._end_recorded(call, found)
+
+    async def resolve_or_unknown(
+        self, call: Call, broken: Lease, reason: str
+    ) -> None:
+        """Answer a commit whose connection broke.
+
+        :param call: The request.
+        :param broken: The lease of the transaction.
+        :param reason: What happened.
+        """
+        if call.req.request_id is None:
+            await call.unknown(reason)
+        else:
+            await self.resolve(call, broken)
+
+    async def commit(self, call: Call, tx: Transaction) -> None:
+        """Commit a caller's transaction.
+
+        :param call: The request.
+        :param tx: The transaction.
+        """
+        request_id = call.req.request_id
+        conn = tx.lease.conn
+        if request_id and not await records.insert(conn, request_id):
+            await conn.query(b'ROLLBACK')
+            await self.resolve(call)
+            return
+        sent_at = self._clock.now()
+        answer = await conn.query(call.req.sql)
+        if answer.position:
+            self._group.committed_at(tx.server, answer.position, sent_at)
+        await self._executor.finish_write(call, tx.server, answer)
+
+    async def write(self, call: Call, server: str) -> None:
+        """Run a write that commits by itself, at most once.
+
+        :param call: The request; it has a request id.
+        :param server: Name of the primary.
+        """
+        request_id = call.req.request_id
+        assert request_id is not None
+        records.check_id(request_id)
+        backend = self._group.backends[server]
+        async with self._executor.leased(backend, call) as lease:
+            sent_at = self._clock.now()
+            answer: Answer | None = Answer()
+            broken: Lease | None = lease
+            with contextlib.suppress(ConnectionLostError, TermChangedError):
+                answer = await self._run_recorded(call, lease, request_id)
+                lease.clean = True
+                broken = None
+        if answer is None:
+            return
+        if answer.position:
+            self._group.committed_at(server, answer.position, sent_at)
+            await self._executor.finish_write(call, server, answer)
+            return
+        await self.resolve(call, broken)
+
+    async def _run_recorded(
+        self, call: Call, lease: Lease, request_id: str
+    ) -> Answer | None:
+        """Run a write and its record in one transaction.
+
+        An answer without a position means that the request ran before.
+        """
+        conn = lease.conn
+        if not await self._begin_recorded(conn, request_id):
+            await conn.query(b'ROLLBACK')
+            return Answer()
+        answer = await self._executor.query(call, lease)
+        if answer is None:
+            await conn.query(b'ROLLBACK')
+            return None
+        await records.complete(conn, request_id, answer)
+        done = await conn.query(b'COMMIT')
+        return attrs.evolve(answer, position=done.position)
+
+    async def _begin_recorded(
+        self, conn: BackendConnection, request_id: str
+    ) -> bool:
+        """Open a transaction with the record of a request.
+
+        :returns: ``False`` if the request ran before.
+        """
+        await conn.query(b'BEGIN')
+        try:
+            return await records.insert(conn, request_id)
+        except BackendError as exc:
+            if not records.is_missing_table(exc):
+                raise
+        await conn.query(b'ROLLBACK')
+        await records.create_table(conn)
+        await conn.query(b'BEGIN')
+        return await records.insert(conn, request_id)
+
+    async def _look_up(
+        self, call: Call, broken: Lease | None
+    ) -> records.Recorded | None:
+        """Find a record on the primary once nothing older can still commit.
+
+        A commit on the broken connection is ruled out by the new term if there
+        is one, and otherwise by ending that connection first.
+        """
+        request_id = call.req.request_id or ''
+        since = self._clock.now()
+        if not await self._group.confirm(since, call.deadline):
+            raise ConnectionLostError('no majority confirmed the term')
+        server = self._group.view.primary
+        term = self._group.view.term
+        if server is None:
+            raise ConnectionLostError('the group has no primary')
+        async with self._executor.leased(
+            self._group.backends[server], call
+        ) as lease:
+            if broken is not None:
+                await lease.conn.kill(broken.conn.connection_id)
+            found = await records.find(lease.conn, request_id)
+            lease.clean = True
+        now = self._clock.now()
+        confirmed = await self._group.confirm(now, call.deadline)
+        if not confirmed or self._group.view.term != term:
+            raise ConnectionLostError('the term changed during the look-up')
+        return found
+
+    async def _end_recorded(self, call: Call, found: records.Recorded) -> None:
+        await call.end(
+            self._group.view.primary or '',
+            'the request ran before',
+            affected_rows=found.affected_rows,
+            insert_id=found.insert_id,
+            position=self._group.view.committed,
+        )
--- a/monsoonproxy/transactions.py
+++ b/monsoonproxy/transactions.py
@@ -10,6 +10,7 @@
 from monsoonproxy.executions import RETRY_AFTER, Executor, Transaction
 from monsoonproxy.groups import Group
 from monsoonproxy.models import StatementKind
+from monsoonproxy.recorded import RecordedWrites
 
 _Key = tuple[bytes, int]
 
@@ -19,12 +20,20 @@
 
     :param group: The group they run on.
     :param executor: Runs their statements.
+    :param recorded: Commits those with a request id.
     :param clock: Source of time.
     """
 
-    def __init__(self, group: Group, executor: Executor, clock: Clock) -> None:
+    def __init__(
+        self,
+        group: Group,
+        executor: Executor,
+        recorded: RecordedWrites,
+        clock: Clock,
+    ) -> None:
         self._group = group
         self._executor = executor
+        self._recorded = recorded
         self._clock = clock
         self._open: dict[_Key, Transaction] = {}
 
@@ -127,7 +136,7 @@
 
     async def _step(self, call: Call, tx: Transaction) -> bool:
         if call.kind is StatementKind.COMMIT:
-            await self._executor.commit(call, tx)
+            await self._recorded.commit(call, tx)
             return False
         if call.kind is StatementKind.ROLLBACK:
             await tx.lease.conn.query(call.req.sql)
@@ -139,7 +148,7 @@
     async def _lose(self, call: Call, lease: Lease, reason: str) -> None:
         """Answer a statement whose transaction was lost."""
         if call.kind is StatementKind.COMMIT:
-            await self._executor.resolve_or_unknown(call, lease, reason)
+            await self._recorded.resolve_or_unknown(call, lease, reason)
             return
         await call.refuse(
             f'the transaction was rolled back: {reason}', RETRY_AFTER
