--- a/tests/test_frontends.py
+++ b/tests/test_frontends.py
@@ -9,6 +9,7 @@
 import struct
 from collections.abc import AsyncIterator, Callable
 from typing import Any
+from unittest import mock
 
 import asyncmy
 import attrs
@@ -30,7 +31,7 @@
 from monsoonproxy.clock import Millis
 from monsoonproxy.exceptions import StatementError
 from monsoonproxy.models import Position
-from monsoonproxy.streams import PacketError
+from monsoonproxy.streams import PacketError, PacketStream
 from tests import wire
 from tests.fixtures import fixture, load_functions
 
@@ -481,12 +482,21 @@
 
 async def test_passwords(running: Running) -> None:
     """Guards against a caller that goes on without the right password."""
-    running.frontend.identities = identities.Identities({'hire': 'secret'})
+    # SHA1(SHA1('secret')), as MySQL stores it.
+    stored = '*14E65567ABDB5135D0CFD9A70B3032C179A49EE7'
+    running.frontend.identities = identities.Identities(
+        {
+            'hire': 'secret',
+            'hire-3': stored,
+        }
+    )
 
     def call(_conn: pymysql.Connection) -> str:
         return 'accepted'
 
-    assert await running.in_thread(call, password='secret') == 'accepted'
+    for user in ('hire', 'hire-3'):
+        options = {'user': user, 'password': 'secret'}
+        assert await running.in_thread(call, **options) == 'accepted'
     for options in ({'password': 'x'}, {}, {'user': 'hire-2'}):
         try:
             await running.in_thread(call, **options)
@@ -621,6 +631,20 @@
             read()
 
 
+async def test_reading_resumes() -> None:
+    """Guards against a caller that is never read again after a burst."""
+    transport, owner = mock.Mock(), mock.Mock()
+    stream = PacketStream(owner, 1 << 20)
+    stream.connection_made(transport)
+    payload = bytes(70_000)
+    stream.data_received(
+        b'%b\x00%b' % (len(payload).to_bytes(3, 'little'), payload)
+    )
+    assert transport.pause_reading.called
+    assert await stream.read() == payload
+    assert transport.resume_reading.called
+
+
 async def test_pipelined_commands(running: Running) -> None:
     """Guards against commands that are lost when they come in one piece."""
     caller = await running.raw()
