--- a/monsoonproxy/callers.py
+++ b/monsoonproxy/callers.py
@@ -35,6 +35,10 @@
 class Caller(Connection):
     """The server side of one connection, without its tasks.
 
+    Its attribute ``short_ends`` tells whether results end without EOF
+    packets, and ``sends_attributes`` whether requests may carry query
+    attributes.
+
     :param frontend: The frontend that accepted the connection.
     :param owner: Is told what happens on the stream.
     """
@@ -53,6 +57,9 @@
         self.connection_id = self.state.number & 0xFFFFFFFF
         self.prepared: dict[int, bindings.Prepared] = {}
         self.last_prepared = 0
+        # Copies of capabilities: looking at the enumeration takes time.
+        self.short_ends = False
+        self.sends_attributes = False
         # Not used: the handshake's attributes would take most of the memory
         # of an idle connection.
         self.client_connect_attrs = _NOTHING
@@ -74,14 +81,6 @@
         """
         return CharacterSet.utf8mb4
 
-    @property
-    def short_ends(self) -> bool:
-        """Whether results end without EOF packets.
-
-        :returns: What the caller asked for in the handshake.
-        """
-        return Capabilities.CLIENT_DEPRECATE_EOF in self.capabilities
-
     @property
     def status(self) -> int:
         """The status flags of the session.
@@ -125,7 +124,10 @@
             await self.stream.start_tls(self.ssl)
             content = await self.stream.read()
         login = handshakes.read_login(self.server_capabilities, content)
-        self.capabilities = login.capabilities
+        offered = login.capabilities
+        self.capabilities = offered
+        self.short_ends = Capabilities.CLIENT_DEPRECATE_EOF in offered
+        self.sends_attributes = Capabilities.CLIENT_QUERY_ATTRIBUTES in offered
         await self._log_in(login, auth_state, plugin)
 
     async def change_user(self, content: bytes) -> None:
--- a/monsoonproxy/commands.py
+++ b/monsoonproxy/commands.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from mysql_mimic.types import Capabilities, Commands
+from mysql_mimic.types import Commands
 
 from monsoonproxy import answers, binaries, bindings, marks, packets
 from monsoonproxy import statements, variables
@@ -85,8 +85,7 @@
 
 @handles(Commands.COM_QUERY)
 async def _query(conn: 'CallerConnection', content: bytes) -> None:
-    with_attributes = Capabilities.CLIENT_QUERY_ATTRIBUTES in conn.capabilities
-    sql, attributes = bindings.read_query(content, with_attributes)
+    sql, attributes = bindings.read_query(content, conn.sends_attributes)
     await _run_sql(conn, sql, attributes, binaries.text_encoder)
 
 
@@ -113,10 +112,9 @@
 async def _execute(conn: 'CallerConnection', content: bytes) -> None:
     reader = bindings.Reader(content)
     prepared = _prepared(conn, reader)
-    with_attributes = Capabilities.CLIENT_QUERY_ATTRIBUTES in conn.capabilities
     try:
         sql, attributes = bindings.read_execution(
-            reader, prepared, with_attributes
+            reader, prepared, conn.sends_attributes
         )
     finally:
         prepared.long_data = None
--- a/monsoonproxy/packets.py
+++ b/monsoonproxy/packets.py
@@ -23,6 +23,8 @@
     | Capabilities.CLIENT_DEPRECATE_EOF
     | Capabilities.CLIENT_QUERY_ATTRIBUTES
 )
+_IN_TRANSACTION = ServerStatus.SERVER_STATUS_IN_TRANS.value
+_AUTOCOMMIT = ServerStatus.SERVER_STATUS_AUTOCOMMIT.value
 _OK = b'\x00'
 _EOF = b'\xfe'
 _NULL = b'\xfb'
@@ -40,12 +42,8 @@
     :param autocommit: Whether autocommit is on.
     :returns: The flags.
     """
-    flags = 0
-    if in_transaction:
-        flags |= ServerStatus.SERVER_STATUS_IN_TRANS.value
-    if autocommit:
-        flags |= ServerStatus.SERVER_STATUS_AUTOCOMMIT.value
-    return flags
+    flags = _AUTOCOMMIT if autocommit else 0
+    return flags | _IN_TRANSACTION if in_transaction else flags
 
 
 def ok(
