Check which services a user may use; shut down in two stages

Cause: declared users had no effect on the caller side, and a shutdown let an open transaction run into the limit without telling its caller. Ruled out: an error of its own for a forbidden service, which would tell callers which services exist. Conclusion: users and their services come from the configuration; open transactions are rolled back 5 s before the end of a shutdown.

--- a/monsoonproxy/callers.py
+++ b/monsoonproxy/callers.py
@@ -136,7 +136,7 @@
         :param content: The packet after the command byte.
         """
         login = handshakes.read_change(self.capabilities, content)
-        await self.renew(login.service)
+        await self.renew(self._service_of(login))
         await self._log_in(login)
 
     async def renew(self, service: str) -> None:
@@ -149,13 +149,33 @@
         self.prepared = {}
         await self.frontend.executor.close(old)
 
+    def may_use(self, service: str) -> bool:
+        """Tell whether the caller may use a service.
+
+        A service that the user may not use is treated like one that does not
+        exist.
+
+        :param service: Name of the service.
+        :returns: Whether it exists and the user may use it.
+        """
+        granted = self.frontend.grants.get(self.session.username or '')
+        if granted and service not in granted:
+            return False
+        return self.frontend.executor.known(service)
+
+    def _service_of(self, login: handshakes.Login) -> str:
+        granted = self.frontend.grants.get(login.username)
+        if granted and not login.database:
+            return granted[0]
+        return login.service
+
     async def _log_in(
         self,
         login: handshakes.Login,
         auth_state: AuthState | None = None,
         plugin: AuthPlugin | None = None,
     ) -> None:
-        self.state.service = login.service
+        self.state.service = self._service_of(login)
         self.session.username = None
         await self.authenticate(
             auth_state=auth_state,
@@ -177,7 +197,7 @@
         :returns: An OK packet, or an ERR packet if there is no such service.
         """
         service = self.state.service
-        if self.frontend.executor.known(service):
+        if self.may_use(service):
             return packets.ok(self.status)
         self.session.username = None
         return packets.unknown_service(service)
--- a/monsoonproxy/commands.py
+++ b/monsoonproxy/commands.py
@@ -268,7 +268,7 @@
 
 
 async def _use(conn: 'CallerConnection', service: str) -> None:
-    if not conn.frontend.executor.known(service):
+    if not conn.may_use(service):
         conn.stream.put(packets.unknown_service(service))
         return
     if service != conn.state.service:
--- a/monsoonproxy/entry.py
+++ b/monsoonproxy/entry.py
@@ -136,11 +136,8 @@
             yield messages.Refusal(0, reason, _NO_HOLDER_RETRY)
             return
         req = self._request(service, session, statement)
-        replies = self._attempts(service, req, arrived)
-        if self._needs_begin(session, statement):
-            replies = self._begin_first(service, req, arrived)
         final: messages.Reply | None = None
-        async for reply in replies:
+        async for reply in self._attempts(service, req, arrived):
             final = reply
             yield reply
         self._count(req, final, arrived)
@@ -161,29 +158,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _needs_begin(self, session: Session, statement: Statement) -> bool:
-        """Tell whether a statement opens a transaction without ``BEGIN``."""
-        return (
-            not session.autocommit
-            and session.number not in self._pinned
-            and statement.kind in {StatementKind.READ, StatementKind.WRITE}
-        )
-
-    async def _begin_first(
-        self,
-        service: Service,
-        req: messages.StatementRequest,
-        arrived: Millis,
-    ) -> AsyncIterator[messages.Reply]:
-        """Open a transaction, then run its first statement."""
-        begin = replace(req, sql=b'BEGIN', kind=StatementKind.BEGIN.value)
-        async for reply in self._attempts(service, begin, arrived):
-            if not isinstance(reply, messages.ResultEnd):
-                yield reply
-                return
-        async for answer in self._attempts(service, req, arrived):
-            yield answer
-
     def _service(self, session: Session) -> Service | None:
         if self._cfg is None:
             return None
--- a/monsoonproxy/frontends.py
+++ b/monsoonproxy/frontends.py
@@ -101,6 +101,8 @@
         self.executor = executor
         self.signer = signer
         self.identities = Identities(users or {})
+        #: Services that a user may use, the default first; all if empty.
+        self.grants: Mapping[str, tuple[str, ...]] = {}
         self.limits = limits or Limits()
         self.clock = clock or Clock()
         self.classifier = statements.Classifier()
--- a/monsoonproxy/server.py
+++ b/monsoonproxy/server.py
@@ -22,6 +22,7 @@
 from monsoonproxy.frontends import Frontend
 from monsoonproxy.groups import candidate_name
 from monsoonproxy.hosting import Hosting
+from monsoonproxy.identities import Identities
 from monsoonproxy.links import Links
 from monsoonproxy.logs import log_for
 from monsoonproxy.metrics import Metrics
@@ -36,6 +37,9 @@
 #: Importing these modules fills the registries of adapters.
 ADAPTER_MODULES = (databases, platforms)
 _DRAIN_INTERVAL = 20
+#: Time in ms before the end of a shutdown at which open transactions are
+#: rolled back.
+_TRANSACTION_END = 5_000
 #: Time in ms between two looks at the key file.
 _KEY_CHECK = 2_000
 #: A task that has nothing left to do may return.
@@ -138,16 +142,25 @@
         _log.info('Shutting down')
         self.frontend.stop_accepting()
         await self.control.say_goodbye()
-        limit = self.control.cfg.platform.shutdown_timeout
-        try:
-            async with asyncio.timeout(seconds(limit)):
-                await self.frontend.drain()
-                await self._finish_requests()
-                await self.hosting.stop()
-        except TimeoutError:
+        rules = self.control.cfg.platform
+        drained = asyncio.create_task(self._drain())
+        await self._wait(drained, rules.shutdown_timeout - _TRANSACTION_END)
+        self.frontend.end_transactions()
+        await self._wait(drained, _TRANSACTION_END)
+        if not drained.done():
             _log.warning('The shutdown ended with requests in flight')
+            drained.cancel()
+        self.frontend.abort()
         _log.info('Shut down')
 
+    async def _drain(self) -> None:
+        await self.frontend.drain()
+        await self._finish_requests()
+        await self.hosting.stop()
+
+    async def _wait(self, task: asyncio.Task[None], limit: int) -> None:
+        await asyncio.wait({task}, timeout=seconds(limit))
+
     async def _finish_requests(self) -> None:
         """Wait until no peer uses this daemon's holders any more."""
         while any(holder.open_requests() for holder in self.hosting.all()):
@@ -155,6 +168,12 @@
 
     def _configured(self, cfg: Configuration) -> None:
         self.entry.configure(cfg)
+        self.frontend.identities = Identities(
+            {name: f'*{user.password_hash}' for name, user in cfg.users.items()}
+        )
+        self.frontend.grants = {
+            name: user.services for name, user in cfg.users.items()
+        }
         self.hosting.configure(cfg)
 
     def _hosts_changed(self, hosts: tuple[Host, ...]) -> None:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -85,6 +85,16 @@
     assert (await running.ask(good, b'INSERT'))[0] == 0
 
 
+async def test_services_of_a_user(running: Running) -> None:
+    """Guards against a user that reaches another customer's service."""
+    running.frontend.grants = {'u': ('hire-1', 'hire-2')}
+    caller = await running.raw(b'hire-2')
+    answer = await caller.ask(b'\x02hire-3')
+    assert wire.error_code(answer) == 1049
+    stranger = await wire.RawCaller.connect(running.port)
+    assert wire.error_code(await stranger.log_in(b'hire-3')) == 1049
+
+
 async def test_large_packet(running: Running) -> None:
     """Guards against a packet that fills the memory."""
     good, large = await running.raw(), await running.raw()
