--- a/emulator/specification_checks.py
+++ b/emulator/specification_checks.py
@@ -97,7 +97,7 @@
 
 
 def check(case: Case) -> dict[str, Any]:
-    """Search all reachable states, in a process of its own.
+    """Search all reachable states.
 
     :param case: What to search.
     :returns: The result of ``minicheck.check_safety``, with its duration.
@@ -105,9 +105,12 @@
     # Nothing is freed during a search, so collections only cost time.
     gc.disable()
     start = time.monotonic()
-    result = minicheck.check_safety(
-        build(case.rules, case.bounds), max_states=case.bounds.max_states
-    )
+    try:
+        result = minicheck.check_safety(
+            build(case.rules, case.bounds), max_states=case.bounds.max_states
+        )
+    finally:
+        gc.enable()
     return {**result, 'seconds': round(time.monotonic() - start, 1)}
 
 
