Replace a primary that only the holders reach

Cause: two faults. With no writes replicated, replicas answer long polls only at the timeout, so their reports were never fresh enough to count as witnesses; and the isolated primary has the longest log, so it was promoted again. Ruled out: the rank delay and the claim (the same with the store up and one holder). Now replicas that report silence are probed, and a primary replaced for isolation is passed over while the others are a majority.

--- a/monsoonproxy/failover.py
+++ b/monsoonproxy/failover.py
@@ -273,12 +273,15 @@
         pace.used_term = 1 + max(
             pace.used_term, self.evidence.highest_promise()
         )
-        leaving = {view.primary} if grounds is Grounds.LEAVING else set()
+        # A primary that replicas don't hear has the longest log: it would be
+        # promoted again, and nothing acknowledged.
+        replaced = grounds in {Grounds.LEAVING, Grounds.ISOLATED}
+        unwanted = {view.primary} if replaced else set()
         self._election = Election(
             self._candidate,
             pace.used_term,
             {name: view.report(name) for name in view.members},
             self._rules,
-            {name for name in leaving if name is not None},
+            {name for name in unwanted if name is not None},
         )
         return self._election.start(now)
--- a/monsoonproxy/suspicion.py
+++ b/monsoonproxy/suspicion.py
@@ -213,10 +213,23 @@
                 self._rules.probe_interval, min(quiet // _SLOWDOWN, idle)
             )
         settled = self.view.primary is not None and self.leaving is None
-        if settled and not self._is_contended():
+        if settled and not self._is_contended() and self._is_heard():
             return None
         return idle
 
+    def _is_heard(self) -> bool:
+        """Tell whether replicas hear from the primary.
+
+        While nothing is replicated they answer long polls only at the timeout,
+        so their reports are too old to show a long silence.
+        """
+        reports = [self.view.report(name) for name in self.view.members]
+        silences: list[int] = [
+            report.source_silence for report in reports if report is not None
+        ]
+        agreed = quorum.majority_offset(silences, self._needed())
+        return (agreed or 0) < self._rules.silence_detection
+
     def _is_contended(self) -> bool:
         return self._contender[0] > self.view.term
 
