Poll the primary often only while ages are near the bounds in use

The pause is now a sixteenth of the least distance between an age and its bound in the last second, at most 50 ms.

--- a/emulator/virtual_replicas.py
+++ b/emulator/virtual_replicas.py
@@ -7,7 +7,8 @@
 from emulator.virtual_load import HOP, Database, Deployment, Simulation
 from monsoonproxy.clock import Millis
 from monsoonproxy.models import BackendReport, Role
-from monsoonproxy.routing import Poll, Router
+from monsoonproxy.polling import Poll
+from monsoonproxy.routing import Router
 
 #: Maps a time to the lag that a replica would have then.
 LagShape = Callable[[float], float]
@@ -174,7 +175,7 @@
             self._plan(server, (-1, -1))
 
     def _plan(self, server: VirtualServer, known: tuple[int, int]) -> None:
-        plan = self._router.next_poll(server.name)
+        plan = self._router.next_poll(server.name, self._sim.now)
         self._sim.after(plan.pause, lambda: self._poll(server, known, plan))
 
     def _poll(
--- a/monsoonproxy/routing.py
+++ b/monsoonproxy/routing.py
@@ -9,6 +9,7 @@
 from monsoonproxy.clock import Millis
 from monsoonproxy.freshness import TICK, Freshness, applied_offset
 from monsoonproxy.models import Position
+from monsoonproxy.polling import Nearness, Poll
 from monsoonproxy.samples import Samples
 
 
@@ -35,8 +36,9 @@
     :param spill_wait: How much later than the primary a replica may answer
         before a read goes to the primary for its load alone.
     :param max_wait: Longest wait for a replica that is catching up.
-    :param sample_interval: Pause between polls of the primary. They don't
-        wait, because the time a poll waited adds to the data ages.
+    :param sample_interval: Least pause between polls of the primary. They
+        don't wait, because the time a poll waited adds to the data ages.
+    :param longest_pause: Greatest pause between polls of the primary.
     :param report_timeout: Longest wait of a poll of a replica.
     """
 
@@ -46,6 +48,7 @@
     spill_wait: Millis = Millis(50)
     max_wait: Millis = Millis(100)
     sample_interval: Millis = Millis(0)
+    longest_pause: Millis = Millis(50)
     report_timeout: Millis = Millis(20)
 
 
@@ -123,18 +126,6 @@
     reason: Reason
 
 
-@attrs.frozen
-class Poll:
-    """How to poll a backend server.
-
-    :param pause: Time in ms between its last report and the poll.
-    :param timeout: Timeout in ms of ``WAIT GROUP CHANGE``.
-    """
-
-    pause: Millis
-    timeout: Millis
-
-
 Choice: TypeAlias = Route | WaitFor | NoRoute
 
 
@@ -155,16 +146,24 @@
     def __init__(self, members: Iterable[str], rules: RoutingRules) -> None:
         super().__init__(members, Samples(rules.max_samples, rules.resolution))
         self._rules = rules
+        self._nearness = Nearness(_MEMORY)
 
-    def next_poll(self, name: str) -> Poll:
+    def next_poll(self, name: str, now: Millis) -> Poll:
         """Tell how to poll a backend server after its last report.
 
+        Polls of the primary are frequent while data ages are near the bounds
+        of reads. A replica tells each change at once, for reads with a floor.
+
         :param name: Its name.
+        :param now: The time.
         :returns: When to poll and how long the poll may wait.
         """
+        rules = self._rules
         if name == self._primary:
-            return Poll(self._rules.sample_interval, Millis(0))
-        return Poll(Millis(0), self._rules.report_timeout)
+            longest = rules.longest_pause
+            pause = self._nearness.pause(now, rules.sample_interval, longest)
+            return Poll(pause, Millis(0))
+        return Poll(Millis(0), rules.report_timeout)
 
     def choose_read(
         self, req: ReadRequest, load: Mapping[str, Load], now: Millis
@@ -244,7 +243,9 @@
         fresh = self._fresh_until(applied_offset(member))
         if fresh is None:
             return _Candidate(name, _NEVER, _NEVER)
-        missing = max(0, now + TICK + flight - req.max_age - fresh)
+        missing = now + TICK + flight - req.max_age - fresh
+        self._nearness.add(abs(missing), now)
+        missing = max(0, missing)
         if applied_offset(member) < floor:
             missing = max(missing, self._floor_gap(floor, fresh, now))
         ready_at = now + missing / max(member.pace, _MIN_PACE)
@@ -288,6 +289,8 @@
 
 
 _NEVER = float('inf')
+# The lag of a replica mostly stays near its bound for longer than this.
+_MEMORY = 1000
 # A replica that stands still is not worth a wait.
 _MIN_PACE = 0.01
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -281,3 +281,18 @@
     assert not router.still_valid(route, 12, Position(1, 7), Millis(113))
     assert router.still_valid(route, 16, Position(1, 7), Millis(113))
     assert not router.still_valid(route, 16, Position(1, 8), Millis(113))
+
+
+def test_polls_follow_the_need() -> None:
+    """Guards against polling at full rate, or too slowly near a bound."""
+    router = _caught_up()
+    assert router.next_poll('p', Millis(100)).pause == 50
+    router.choose_read(_read(1000), _LOAD, Millis(101))
+    far = router.next_poll('p', Millis(101))
+    router.choose_read(_read(14), _LOAD, Millis(102))
+    near = router.next_poll('p', Millis(102))
+    assert near.pause < far.pause
+    assert near.pause <= 1
+    assert near.timeout == 0
+    assert router.next_poll('r', Millis(102)).timeout > 0
+    assert router.next_poll('p', Millis(2000)).pause == 50
