Predict when a replica meets an age bound by its pace above real time

Cause: the prediction divided the missing age by the replica's pace, although the bound moves on by 1 ms per ms; a replica with constant lag seemed about to catch up forever. A floor stands still, so its prediction is unchanged.

--- a/monsoonproxy/routing.py
+++ b/monsoonproxy/routing.py
@@ -245,10 +245,12 @@
             return _Candidate(name, _NEVER, _NEVER)
         missing = now + TICK + flight - req.max_age - fresh
         self._nearness.add(abs(missing), now)
-        missing = max(0, missing)
+        # The bound moves on while the replica catches up, the floor does not.
+        delay = _time_to_gain(missing, member.pace - 1)
         if applied_offset(member) < floor:
-            missing = max(missing, self._floor_gap(floor, fresh, now))
-        ready_at = now + missing / max(member.pace, _MIN_PACE)
+            gap = self._floor_gap(floor, fresh, now)
+            delay = max(delay, _time_to_gain(gap, member.pace))
+        ready_at = now + delay
         return _Candidate(name, ready_at + flight, ready_at)
 
     def _floor_gap(self, floor: int, fresh: int, now: int) -> int:
@@ -291,8 +293,12 @@
 _NEVER = float('inf')
 # The lag of a replica mostly stays near its bound for longer than this.
 _MEMORY = 1000
-# A replica that stands still is not worth a wait.
-_MIN_PACE = 0.01
+
+
+def _time_to_gain(missing: float, pace: float) -> float:
+    if missing <= 0:
+        return 0
+    return missing / pace if pace > 0 else _NEVER
 
 
 def _flight(load: Load | None, hop: int) -> float:
