Keep monsoonctl out of the hosts of a daemon

Cause: a daemon that monsoonctl told of a new version noted the name 'tool' as a host of an unknown availability zone, usable for 10 s, which placement could choose as a holder; it also asked 'tool' for the document. Now the daemon reads the store. Ruled out: status requests, which never reach the membership.

--- a/monsoonproxy/control.py
+++ b/monsoonproxy/control.py
@@ -95,6 +95,11 @@
         :param message: The message.
         """
         now = self._clock.now()
+        if peer == messages.TOOL:
+            # The tool is no host: it must not become a holder.
+            if isinstance(message, messages.Announce):
+                self._handle(spread.ChangeNotified(message.version))
+            return
         if isinstance(message, messages.Goodbye):
             self._membership.handle(
                 membership.SaidGoodbye(message.address), now
--- a/monsoonproxy/inquiries.py
+++ b/monsoonproxy/inquiries.py
@@ -78,7 +78,7 @@
 ) -> AsyncIterator[Link]:
     link = Link(
         address,
-        f'tool/{secrets.token_hex(8)}'.encode(),
+        f'{messages.TOOL}/{secrets.token_hex(8)}'.encode(),
         handler=lambda _address, message: replies.put_nowait(message),
         lost=_ignore,
         keys=_site_keys.get() if keys is None else keys,
--- a/monsoonproxy/messages.py
+++ b/monsoonproxy/messages.py
@@ -9,6 +9,9 @@
 
 Row: TypeAlias = list[bytes | None]
 
+#: Name under which ``monsoonctl`` connects; daemons connect by address.
+TOOL = 'tool'
+
 
 class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Base of all messages."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -6,6 +6,7 @@
 import attrs
 
 from emulator.spread_network import document
+from monsoonproxy import messages
 from monsoonproxy.clock import Clock
 from monsoonproxy.configuration import Configuration
 from monsoonproxy.control import Control
@@ -78,3 +79,19 @@
     await _read(control)
     assert control._membership.rules == rules.membership
     assert control._spread.rules == rules.spread
+
+
+async def test_tool_is_no_host() -> None:
+    """Guards against monsoonctl becoming a holder after it told a version.
+
+    The daemon reads the store instead.
+    """
+    platform = MemoryPlatform()
+    platform.table['configuration'] = Stored('e', document(2))
+    control = _control(platform)
+    control.receive(messages.TOOL, messages.Announce(2))
+    assert control.hosts() == (control.own,)
+    await asyncio.gather(*control._tasks)
+    assert (control.version, control.store_reads) == (2, 1)
+    control.receive(messages.TOOL, messages.Announce(2))
+    assert (control.store_reads, control.hosts()) == (1, (control.own,))
