Read from the adapter's class whether it can refuse lower terms

Cause: the check looked at the attribute of the class, where attrs keeps a descriptor that is true whatever the default is, so an adapter with fences = False passed without accept_loss. The new test fails without the change. Ruled out: the rule in configuration, whose own test passes.

--- a/monsoonproxy/actions.py
+++ b/monsoonproxy/actions.py
@@ -74,7 +74,19 @@
         return None
     adapters = importlib.import_module('monsoonproxy.adapters')
     registry = adapters.databases
-    return {name: registry.get(name).fences for name in registry.names()}
+    return {name: _fences(registry.get(name)) for name in registry.names()}
+
+
+def _fences(adapter: Any) -> bool:
+    """Return whether an adapter's class says that it can refuse lower terms.
+
+    The class of an attrs field with a default has a descriptor there, which is
+    true whatever the default is. What says nothing counts as not fencing.
+    """
+    if attrs.has(adapter):
+        field = attrs.fields_dict(adapter).get('fences')
+        return field is not None and field.default is True
+    return getattr(adapter, 'fences', False) is True
 
 
 async def compare(opened: Opened, base: str, overlay: str | None) -> Answer:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,12 +8,13 @@
 import stat
 import tempfile
 
+import attrs
 import zmq
 from hypothesis import given
 from hypothesis import strategies as st
 from zmq import asyncio as zmq_asyncio
 
-from monsoonproxy import inquiries, keys, messages, operations
+from monsoonproxy import adapters, inquiries, keys, messages, operations
 from monsoonproxy.configuration import Change, Configuration
 from monsoonproxy.declarations import PlatformRules
 from monsoonproxy.exceptions import (
@@ -79,6 +80,28 @@
     assert 'add u' in (await tool.run('history', '--limit', '1'))[1]
 
 
+@attrs.define
+class Unfenced:
+    """A database adapter that can't refuse lower terms."""
+
+    fences: bool = False
+
+
+async def test_adapter_that_does_not_fence(tool) -> None:
+    """Guards against an adapter that loses writes passing the check."""
+    adapters.databases.register('unfenced')(Unfenced)
+    try:
+        tool.write_file(f'[defaults]\ndatabase = "unfenced"\n{BASE}')
+        code, text = await tool.run('check', 'base.toml')
+    finally:
+        adapters.databases._entries.pop('unfenced')
+    assert code == 1
+    assert "base.toml:2: services.a.database: can't refuse lower" in text
+    assert (await tool.run('check', 'base.toml'))[1].count('unknown adapter')
+    tool.write_file(BASE)
+    assert (await tool.run('check', 'base.toml'))[0] == 0
+
+
 async def test_refused_files_change_nothing(tool) -> None:
     """Guards against a write although a check refused the files."""
     tool.write_file(f'{BASE}typo = 1\n')
