--- a/monsoonproxy/operations.py
+++ b/monsoonproxy/operations.py
@@ -233,13 +233,19 @@
     :returns: The configuration, or ``None`` if it is not stored.
     :raises PlatformError: If the store does not answer.
     """
-    current = await read_current(platform)
+    return await _find(platform, version, await read_current(platform))
+
+
+async def _find(
+    platform: Platform, version: int, current: Configuration
+) -> Configuration | None:
     if current.version == version:
         return current
-    document = await platform.get_object(_object_key(version))
-    if document is None or version > current.version:
+    if version > current.version:
+        # An object of a write that was refused may be there.
         return None
-    return Configuration.from_document(document)
+    document = await platform.get_object(_object_key(version))
+    return Configuration.from_document(document) if document else None
 
 
 async def history(platform: Platform, limit: int) -> list[dict[str, Any]]:
@@ -254,7 +260,7 @@
     rows = []
     first = max(0, current.version - limit)
     for version in range(current.version, first, -1):
-        found = await read_version(platform, version)
+        found = await _find(platform, version, current)
         change = found.change if found else Change(comment='(not archived)')
         rows.append(
             {
