Drop peer messages with an identity that libzmq generated

Cause: while a daemon is stopped (SIGSTOP), its peers' heartbeats time out and they connect again. The messages of the broken connections are still unread. With ROUTER_HANDOVER the new connection takes the identity over, and libzmq 4.3.5 delivers the old messages under a generated identity, b'\0' and a counter. Dispatch took it for the address of a peer, so that an announcement put a host "\0k\x8bEg" on the list of hosts. The daemon then failed to open a link to this "holder" on every request.

Ruled out: a sender without an identity (every Link sets one); a handover from a live connection (a trial with two DEALER sockets loses its unread messages instead). A trial that closes the first socket before the second connects shows the generated identity.

Conclusion: these messages were given up by their senders when their connection broke, and no answer can reach them. They are dropped.

--- a/monsoonproxy/peers.py
+++ b/monsoonproxy/peers.py
@@ -29,6 +29,10 @@
 #: Messages queued per connection before a send is refused.
 _HIGH_WATER_MARK = 10_000
 _RECONNECT_MS = 50
+#: First byte of identities that the library generates. When a peer takes its
+#: identity over, messages still unread from its broken connection get such an
+#: identity. The peer has given them up, and no answer would reach it.
+_GENERATED = b'\0'
 _RECONNECT_MAX_MS = 1_000
 _HEARTBEAT_MS = 500
 _HEARTBEAT_TIMEOUT_MS = 1_500
@@ -109,6 +113,8 @@
         """Receive messages until cancelled."""
         while True:
             identity, frame = await self._socket.recv_multipart()
+            if identity.startswith(_GENERATED):
+                continue
             try:
                 message = messages.decode(frame)
             except msgspec.MsgspecError as exc:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Sequence
 
 import zmq
+from zmq.asyncio import Context
 
 from monsoonproxy import messages
 from monsoonproxy.exceptions import PeerError
@@ -118,3 +119,28 @@
     connected = await made.link.wait_connected(10)
     await made.close()
     assert connected
+
+
+async def test_generated_identities_are_dropped() -> None:
+    """Guards against a generated identity that passes for a peer's address.
+
+    The library gives one to messages that were unread when their sender's
+    connection broke and the sender connected again. Here it gives one to a
+    sender without an identity.
+    """
+    address = _free_address()
+    heard: asyncio.Queue[bytes] = asyncio.Queue()
+    listener = Listener(address, lambda found, _ping: heard.put_nowait(found))
+    running = asyncio.create_task(listener.run())
+    for identity in (b'', b'peer'):
+        dealer = Context.instance().socket(zmq.DEALER)
+        if identity:
+            dealer.setsockopt(zmq.IDENTITY, identity)
+        dealer.connect(f'tcp://{address}')
+        await dealer.send(messages.encode(messages.Ping(1)))
+        await asyncio.sleep(0.2)
+        dealer.close(0)
+    assert await asyncio.wait_for(heard.get(), 10) == b'peer'
+    assert heard.empty()
+    running.cancel()
+    listener.close()
