--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -62,6 +62,15 @@
         return int(match.group(1)) if match else _DEFAULT_RETRY
 
 
+class _Wire(Connection):
+    # The library's stubs leave this attribute out.
+    _stream_broken: bool
+
+    def broken(self) -> bool:
+        """Tell whether the other end has closed the connection."""
+        return not self.connected or self._stream_broken
+
+
 @attrs.define
 class Link:
     """A connection of a caller.
@@ -72,7 +81,7 @@
 
     daemon: str
     token: bool
-    _conn: Connection
+    _conn: _Wire
 
     async def run(self, sql: str, limit: float) -> Sequence[tuple]:
         """Run a statement.
@@ -95,6 +104,14 @@
         except _LIBRARY_ERRORS as exc:
             raise self._converted(exc) from exc
 
+    @property
+    def broken(self) -> bool:
+        """Tell whether the daemon has closed the connection.
+
+        :returns: Whether it has, so that nothing should be sent any more.
+        """
+        return self._conn.broken()
+
     def close(self) -> None:
         """Close the connection without a farewell."""
         self._conn.close()
@@ -120,7 +137,7 @@
     :raises OSError: If no connection came about.
     """
     host, port = address.split(':')
-    conn = Connection(
+    conn = _Wire(
         host=host,
         port=int(port),
         user='caller',
@@ -163,8 +180,9 @@
         :returns: The connection.
         :raises OSError: If no daemon can be reached now.
         """
-        if self.link is not None:
+        if self.link is not None and not self.link.broken:
             return self.link
+        self.drop()
         names = list(self._addresses)
         self._rng.shuffle(names)
         problem = OSError('no daemon')
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -102,8 +102,10 @@
     scene.note(f'delay {behind.name} by {lag} ms', main=False)
     await scene.switch(behind, receive_lag_ms=lag, apply_lag_ms=lag)
     await asyncio.sleep(scene.hold / 2)
-    await kill_primary(scene)
+    # From now on it catches up; with two members left, no write can be
+    # acknowledged before it has.
     await scene.switch(behind, receive_lag_ms=0, apply_lag_ms=0)
+    await kill_primary(scene)
 
 
 @faults.register('kill-daemon')
