--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,6 @@
 
 demo: env
 	$(BIN)/python -m emulator demo
+
+capacity: env
+	$(BIN)/python -m emulator.capacity
--- /dev/null
+++ b/emulator/capacity_decisions.py
@@ -0,0 +1,151 @@
+"""Measures the work of one daemon that grows with hosts and services.
+
+The decisions run in this process with lists of the design scale, which no site
+on one machine can have.
+"""
+
+import json
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from emulator.experiment_spread import configuration_of
+from monsoonproxy import membership
+from monsoonproxy.claims import TermClaims
+from monsoonproxy.clock import Clock, Millis
+from monsoonproxy.configuration import Configuration
+from monsoonproxy.declarations import MembershipRules
+from monsoonproxy.hosting import Hosting
+from monsoonproxy.models import Host
+from monsoonproxy.platforms import HttpPlatform
+from monsoonproxy.supervisors import Supervisor
+
+_HOSTS = (600, 1200, 2400)
+_SERVICES = (317, 634, 1267)
+_PLACED_SERVICES = 100
+_ZONES = 8
+_REPEATS = 50
+_OWN = '127.9.9.9:7000'
+
+
+def hosts_of(count: int) -> tuple[Host, ...]:
+    """Name some hosts, spread over eight zones.
+
+    :param count: How many.
+    :returns: The hosts.
+    """
+    return tuple(
+        Host(f'127.1.{number // 250}.{number % 250}:7000', _zone(number))
+        for number in range(count)
+    )
+
+
+def measure() -> dict[str, Any]:
+    """Measure all decisions.
+
+    :returns: Figures by decision.
+    """
+    return {
+        'placement': [_placement(count) for count in _HOSTS],
+        'membership': [_membership(count) for count in _HOSTS],
+        'configuration': [_configuration(count) for count in _SERVICES],
+    }
+
+
+def _zone(number: int) -> str:
+    return f'region-{number % 2}-zone-{number % _ZONES // 2}'
+
+
+def _timed(work: Callable[[], object], repeats: int = 1) -> float:
+    """Return the processor time of a call in ms."""
+    started = time.process_time()
+    for _ in range(repeats):
+        work()
+    return (time.process_time() - started) * 1000 / repeats
+
+
+def _allocated(create: Callable[[], object]) -> int:
+    """Return the bytes of the objects that a call leaves."""
+    tracemalloc.start()
+    kept = create()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+def _placement(count: int) -> dict[str, float]:
+    """Time a daemon that places services after changes of the host list."""
+    hosts = hosts_of(count)
+    clock = Clock()
+    hosting = Hosting(
+        _OWN,
+        TermClaims(HttpPlatform('http://127.0.0.1:1'), _OWN),
+        Supervisor('capacity', clock),
+        clock,
+        random.Random(1),
+    )
+    cfg = configuration_of(_PLACED_SERVICES)
+    hosting.configure(cfg)
+    return {
+        'hosts': count,
+        'services': _PLACED_SERVICES,
+        'first_ms': _timed(lambda: hosting.place(hosts)),
+        'host_left_ms': _timed(lambda: hosting.place(hosts[1:])),
+        'host_joined_ms': _timed(lambda: hosting.place(hosts)),
+        'configured_ms': _timed(lambda: hosting.configure(cfg)),
+    }
+
+
+def _membership(count: int) -> dict[str, float]:
+    hosts = hosts_of(count)
+    own = Host(_OWN, _zone(0))
+    state = membership.Membership(own, MembershipRules())
+    listed = membership.HostsListed(hosts)
+    state.handle(listed, Millis(0))
+    body = json.dumps(
+        [
+            {
+                'address': host.address,
+                'availability_zone': host.availability_zone,
+                'state': host.state.value,
+            }
+            for host in hosts
+        ]
+    )
+
+    def tick() -> None:
+        state.handle(membership.Tick(), Millis(1))
+        state.probes(Millis(1))
+
+    def create() -> membership.Membership:
+        fresh = membership.Membership(own, MembershipRules())
+        fresh.handle(membership.HostsListed(hosts_of(count)), Millis(0))
+        return fresh
+
+    return {
+        'hosts': count,
+        'tick_ms': _timed(tick, _REPEATS),
+        'list_ms': _timed(
+            lambda: state.handle(listed, Millis(1)), _REPEATS // 10
+        ),
+        'parse_list_ms': _timed(lambda: json.loads(body), _REPEATS),
+        'list_bytes': len(body),
+        'memory_bytes': _allocated(create),
+    }
+
+
+def _configuration(count: int) -> dict[str, float]:
+    document = configuration_of(count).to_document()
+    return {
+        'services': count,
+        'document_bytes': len(document),
+        'parse_ms': _timed(
+            lambda: Configuration.from_document(document), repeats=3
+        ),
+        'memory_bytes': _allocated(
+            lambda: Configuration.from_document(document)
+        ),
+    }
--- a/emulator/experiment_spread.py
+++ b/emulator/experiment_spread.py
@@ -74,10 +74,20 @@
     :returns: Size in bytes.
     """
     groups = max(3, round(daemons * _GROUPS_PER_DAEMON))
-    services = {
-        service.name: service for service in map(_service, range(groups))
-    }
-    return len(zlib.compress(Configuration(services=services).to_document()))
+    return len(zlib.compress(configuration_of(groups).to_document()))
+
+
+def configuration_of(groups: int) -> Configuration:
+    """Declare services with three members each.
+
+    :param groups: How many services.
+    :returns: The configuration.
+    """
+    return Configuration(
+        services={
+            service.name: service for service in map(_service, range(groups))
+        }
+    )
 
 
 def _service(number: int) -> Service:
