Poll as the router asks while a service is in use

Cause: the holder polled the primary every 20 ms whatever the ages were; the router's experiments show that polls matter only while ages are near the bounds in use. Ruled out: the router's schedule for idle services, which would poll every 50 ms; those are polled every 100 ms.

--- a/monsoonproxy/backends.py
+++ b/monsoonproxy/backends.py
@@ -18,27 +18,25 @@
     TooManyConnectionsError,
 )
 from monsoonproxy.models import BackendReport, Role
+from monsoonproxy.polling import Poll
 
 #: Called with the name, the report and the time its poll was sent.
 ReportHandler: TypeAlias = Callable[[str, BackendReport, Millis], None]
+#: Tells how to poll a backend server, by its name and the time.
+Schedule: TypeAlias = Callable[[str, Millis], Poll]
 #: Called with the name and whether the connection was refused.
 UnreachableHandler: TypeAlias = Callable[[str, bool], None]
 
-#: Longest time in ms that a poll of a replica waits for a change of position,
-#: while the service is in use and while it is idle.
-_REPLICA_WAIT = Millis(50)
-_REPLICA_WAIT_IDLE = Millis(150)
-#: Time in ms between two polls of the primary. These do not wait for a change:
-#: the time that a poll waits would count as age of the data.
-_PRIMARY_INTERVAL = 20
-_PRIMARY_INTERVAL_IDLE = 100
+#: How to poll a primary and a replica of an idle service.
+_IDLE_PRIMARY = Poll(pause=Millis(100), timeout=Millis(0))
+_IDLE_REPLICA = Poll(pause=Millis(0), timeout=Millis(150))
 #: Time in ms without a statement after which a service counts as idle.
 _IDLE_AFTER = 1_000
 #: Pause in ms between two probes, which lets several waiting statements share
 #: the next one.
 _PROBE_PAUSE = 2
-#: Time in ms beyond its own timeout after which a poll counts as failed.
-_POLL_GRACE = 250
+#: Time in ms after which a poll counts as failed.
+_POLL_LIMIT = 400
 #: Pause in ms between two polls, which bounds their rate under load.
 _POLL_PAUSE = 2
 _RECONNECT_PAUSE = 50
@@ -111,6 +109,8 @@
         self._probe_wanted = asyncio.Event()
         self._probe_sent_at = Millis(0)
         self._used_at = clock.now()
+        #: Tells how to poll a backend server of a service in use.
+        self.schedule: Schedule = _always_idle
 
     async def connect(
         self, timeout: Millis = _CONNECT_TIMEOUT
@@ -309,9 +309,15 @@
             report = await self._in_time(conn.status())
             while True:
                 on_report(self.name, report, sent_at)
-                await asyncio.sleep(seconds(self._pause(report.role)))
+                poll = self._next_poll(report.role)
+                await asyncio.sleep(seconds(max(poll.pause, _POLL_PAUSE)))
                 sent_at = self._clock.now()
-                report = await self._in_time(self._poll(conn, report))
+                call = conn.status()
+                if poll.timeout:
+                    call = conn.wait_change(
+                        report.received, report.applied, poll.timeout
+                    )
+                report = await self._in_time(call)
         finally:
             await conn.close()
 
@@ -331,9 +337,7 @@
 
     async def _in_time(self, call: Awaitable[BackendReport]) -> BackendReport:
         try:
-            async with asyncio.timeout(
-                seconds(_REPLICA_WAIT_IDLE + _POLL_GRACE)
-            ):
+            async with asyncio.timeout(seconds(_POLL_LIMIT)):
                 return await call
         except TimeoutError:
             raise ConnectionLostError('a poll was not answered') from None
@@ -341,15 +345,11 @@
     def _is_idle(self) -> bool:
         return self._clock.now() - self._used_at > _IDLE_AFTER
 
-    def _pause(self, role: Role) -> int:
-        if role is Role.REPLICA:
-            return _POLL_PAUSE
-        return _PRIMARY_INTERVAL_IDLE if self._is_idle() else _PRIMARY_INTERVAL
-
-    def _poll(
-        self, conn: BackendConnection, last: BackendReport
-    ) -> Awaitable[BackendReport]:
-        if last.role is Role.PRIMARY:
-            return conn.status()
-        wait = _REPLICA_WAIT_IDLE if self._is_idle() else _REPLICA_WAIT
-        return conn.wait_change(last.received, last.applied, wait)
+    def _next_poll(self, role: Role) -> Poll:
+        if not self._is_idle():
+            return self.schedule(self.name, self._clock.now())
+        return _IDLE_PRIMARY if role is Role.PRIMARY else _IDLE_REPLICA
+
+
+def _always_idle(_name: str, _now: Millis) -> Poll:
+    return _IDLE_REPLICA
--- a/monsoonproxy/groups.py
+++ b/monsoonproxy/groups.py
@@ -109,6 +109,7 @@
     def _watch(self, backend: Backend) -> None:
         if self._task_group is None:
             return
+        backend.schedule = self.router.next_poll
         work = (
             backend.poll(self._observe, self._unreachable),
             backend.probe(self._observe, self._unreachable),
