Let a daemon that knows nobody keep asking its seeds

Cause: a starting daemon announced itself once to its seed peers; if they were not up yet, or the message was lost, it stayed alone while the platform was down. Announcements named only the sender, so a newcomer did not learn the other hosts. Ruled out: naming all hosts, which would pass 12 KB/s at 2,400 daemons; an announcement names at most 16. Tests also have a time limit now, so that one that hangs fails.

--- a/emulator/cluster.py
+++ b/emulator/cluster.py
@@ -136,6 +136,9 @@
         self.databases: dict[str, dict[str, Process]] = {
             service: self._group(service) for service in site.services
         }
+        self._peers = [
+            f'{_HOST}:{free_port()}' for _number in range(site.daemons)
+        ]
         self.daemons: list[Process] = [
             self._daemon(number) for number in range(site.daemons)
         ]
@@ -330,13 +333,15 @@
         return f'{self.site.switches},connection_limit={limit}'
 
     def _daemon(self, number: int) -> Process:
-        port, peer = free_port(), free_port()
+        port = free_port()
+        peer = self._peers[number]
         name = f'daemon-{number}'
         settings = self.directory / f'{name}.toml'
         settings.write_text(
             '\n'.join(
                 (
-                    f"peer_address = '{_HOST}:{peer}'",
+                    f"peer_address = '{peer}'",
+                    f'seed_peers = {self._peers}',
                     f"listen_address = '{_HOST}:{port}'",
                     f"availability_zone = '{self._zone(number)}'",
                     f"platform_url = 'http://{self.platform.address}'",
@@ -350,7 +355,7 @@
             f'{_HOST}:{port}',
             (program, str(settings)),
             self.directory / f'{name}.log',
-            f'{_HOST}:{peer}',
+            peer,
         )
 
 
--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -201,7 +201,7 @@
 async def _demo(directory: pathlib.Path) -> int:
     async with running(Site(), directory) as cluster:
         tally = Tally()
-        await _create_table(cluster)
+        await create_table(cluster)
         print(f'site: {len(cluster.daemons)} daemons, one group of 3')
         start = time.monotonic()
         callers = [
@@ -228,8 +228,12 @@
     print(f'applied configuration version {version}')
 
 
-async def _create_table(cluster: Cluster) -> None:
-    """Wait until the site answers, then create the table."""
+async def create_table(cluster: Cluster) -> None:
+    """Wait until the site answers, then create the table.
+
+    :param cluster: The running site.
+    :raises RuntimeError: If it does not answer.
+    """
     host, port = cluster.daemons[0].address.split(':')
     for _ in range(100):
         with contextlib.suppress(MySQLError, OSError):
--- a/monsoonproxy/control.py
+++ b/monsoonproxy/control.py
@@ -19,6 +19,10 @@
 #: Key of the configuration in the table service.
 CONFIGURATION_KEY = 'configuration'
 _TICK = 50
+#: Time in ms between two announcements to the seeds.
+_SEED_INTERVAL = 500
+#: Hosts named in an announcement, which bounds its size on a large site.
+_ANNOUNCED_HOSTS = 16
 
 
 class Control:
@@ -52,6 +56,7 @@
         self._membership = membership.Membership(self.own, rules.membership)
         self._spread = spread.Spread(self.own.address, rules.spread, rng)
         self._hosts_due = Millis(0)
+        self._seeds_due = Millis(0)
         self._tasks: set[asyncio.Task[None]] = set()
         self._reading = False
         self._stored_etag = ''
@@ -71,8 +76,6 @@
 
     async def run(self) -> None:
         """Run the decisions until cancelled."""
-        for seed in self._seeds:
-            self._spawn(self._announce(seed, 0))
         # A daemon that is alone gets no event about other hosts.
         self._hosts_changed()
         while True:
@@ -83,6 +86,7 @@
             if self._membership.changed:
                 self._hosts_changed()
             self._handle(spread.Tick())
+            self._ask_seeds(now)
             if now >= self._hosts_due:
                 self._hosts_due = Millis(now + self.cfg.platform.hosts_interval)
                 self._spawn(self._read_hosts())
@@ -146,6 +150,19 @@
             )
         )
 
+    def _ask_seeds(self, now: Millis) -> None:
+        """Announce this daemon to the seeds while it knows nobody else.
+
+        They answer with their version and hosts, also while the platform is
+        down.
+        """
+        alone = len(self.hosts()) <= 1
+        if not alone or now < self._seeds_due:
+            return
+        self._seeds_due = Millis(now + _SEED_INTERVAL)
+        for seed in self._seeds:
+            self._spawn(self._announce(seed, self.version))
+
     def _hosts_changed(self) -> None:
         hosts = self.hosts()
         self._handle(spread.PeersChanged(hosts))
@@ -186,8 +203,14 @@
         self.on_configuration(cfg)
 
     async def _announce(self, peer: str, version: int) -> None:
-        own = (self.own.address, self.own.availability_zone, 'live')
-        await self._send(peer, messages.Announce(version, [own]))
+        heard = list(self._membership.heard(self._clock.now()))
+        others = self._rng.sample(heard, min(len(heard), _ANNOUNCED_HOSTS))
+        named = {self.own, *others}
+        hosts = [
+            (host.address, host.availability_zone, host.state.value)
+            for host in named
+        ]
+        await self._send(peer, messages.Announce(version, hosts))
 
     async def _send(self, peer: str, message: messages.Message) -> None:
         sent_at = self._clock.now()
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -14,6 +14,9 @@
 
 import uvloop
 
+#: Time in seconds after which a test has failed; far above any test's need.
+_TEST_LIMIT = 300
+
 _fixtures: dict[str, Callable[..., Any]] = {}
 
 
@@ -62,9 +65,11 @@
 async def _run_with_fixtures(function: Callable[..., Any]) -> None:
     async with contextlib.AsyncExitStack() as stack:
         arguments = await _resolve(function, stack, {})
-        outcome = function(**arguments)
-        if inspect.isawaitable(outcome):
-            await outcome
+        # A fault that makes a test wait for ever must fail it.
+        async with asyncio.timeout(_TEST_LIMIT):
+            outcome = function(**arguments)
+            if inspect.isawaitable(outcome):
+                await outcome
 
 
 async def _resolve(
