Count a read that a replica served as one that a replica could serve

The limit was computed from the time a read was sent only; a read that queued on the replica could have been missing from it.

--- a/emulator/experiment_routing.py
+++ b/emulator/experiment_routing.py
@@ -248,6 +248,8 @@
         return age > self.trial.size.bound or read.applied < read.floor
 
     def _possible(self, read: _Read) -> bool:
+        if read.server != 'p' and not self._violates(read):
+            return True
         earliest = read.arrived + HOP
         latest = max(earliest, read.sent + HOP)
         for start, applied in self._states(earliest, latest):
