Create the table of request ids for a first COMMIT that has one

Cause: the record of a transaction's request id is inserted at its COMMIT. While the group has no table of request ids yet, this failed with error 1146 for the internal table. Only a write outside a transaction created the table, so that transactions failed until one came.

Ruled out: a replica that is behind (the statement runs on the primary), and the callers' own tables.

Conclusion: CREATE TABLE would commit the transaction. It is rolled back, the table is created, and the caller is told `not run`.

--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -161,7 +161,7 @@
     hold = max(1, (plan.seconds - _WARM_UP) / 3)
     async with running(site, directory) as cluster:
         scene = Scene(cluster, service, hold)
-        await _serving(cluster, service)
+        await serving(cluster, service)
         await asyncio.sleep(_SETTLE)
         addresses = {each.name: each.address for each in cluster.daemons}
         load = Load(plan, addresses, service)
@@ -189,8 +189,12 @@
     return await connect(process.name, process.address, service)
 
 
-async def _serving(cluster: Cluster, service: str) -> None:
-    """Wait until the site serves writes, and create the tables."""
+async def serving(cluster: Cluster, service: str) -> None:
+    """Wait until a site serves writes, and create the tables of the load.
+
+    :param cluster: The site.
+    :param service: The service.
+    """
     async with asyncio.timeout(_START_LIMIT):
         while not await _prepared(cluster.daemons[0], service):
             await asyncio.sleep(0.2)
--- a/monsoonproxy/recorded.py
+++ b/monsoonproxy/recorded.py
@@ -71,7 +71,17 @@
         """
         request_id = call.req.request_id
         conn = tx.lease.conn
-        if request_id and not await records.insert(conn, request_id):
+        try:
+            is_new = not request_id or await records.insert(conn, request_id)
+        except BackendError as exc:
+            if not records.is_missing_table(exc):
+                raise
+            # Creating a table would commit the transaction.
+            await conn.query(b'ROLLBACK')
+            await records.create_table(conn)
+            await call.refuse('the table of request ids was new', RETRY_AFTER)
+            return
+        if not is_new:
             await conn.query(b'ROLLBACK')
             await self.resolve(call)
             return
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -7,8 +7,11 @@
 import pathlib
 import tempfile
 
-from emulator.experiment import Run, run_once
-from emulator.history import check_all
+from emulator.callers import Link, RequestError, connect
+from emulator.cluster import Site, running
+from emulator.experiment import Run, run_once, serving
+from emulator.history import Kind, check_all
+from emulator.ledger import Job, read_ledger, run, texts_of
 from emulator.load import Plan
 from tests.fixtures import load_functions
 
@@ -60,3 +63,29 @@
     assert set(latest.values()) == {6}, latest
     accepted = [sorted(each) for each in run.scene.accepted]
     assert accepted == [[0, version] for version in range(2, 7)], accepted
+
+
+async def test_first_request_id_comes_with_a_commit() -> None:
+    """Guards against failing transactions while no request id was recorded."""
+    site = Site()
+    service = site.services[0]
+    with tempfile.TemporaryDirectory() as directory:
+        async with running(site, pathlib.Path(directory)) as cluster:
+            await serving(cluster, service)
+            daemon = cluster.daemons[0]
+            link = await connect(daemon.name, daemon.address, service)
+            codes = [await _transaction(link) for _ in range(2)]
+            rows = await read_ledger(link)
+            link.close()
+    assert codes == [4100, 0], codes
+    assert len(rows) == 2, rows
+
+
+async def _transaction(link: Link) -> int:
+    """Run a transaction and return the code of its error."""
+    job = Job(Kind.TRANSACTION, 't1-1', ('k1', 'k2'))
+    try:
+        await run(link, job, texts_of(job, 1))
+    except RequestError as exc:
+        return exc.code
+    return 0
