Keep placements while hosts come and go

Cause: each change of the host list or of the configuration placed all services anew, which scores every host for every service in the event loop. At 2,400 hosts that took 10.3 to 11.1 ms per service, so about 13 s for 1,267 services, during which the daemon serves nothing.

Ruled out: a faster score or a single pass instead of a sort helps by a small factor only, and a new score would move services during an upgrade. Computing on demand is not enough, since a daemon has to know which services it holds.

Change: a host that leaves affects only the services it was chosen for, and a host that joins is compared with the chosen hosts.

Conclusion: changes no longer stop a daemon; its first placement still does.

--- a/monsoonproxy/hosting.py
+++ b/monsoonproxy/hosting.py
@@ -62,8 +62,7 @@
         self._draining: set[asyncio.Task[None]] = set()
         self._numbers = itertools.count(1)
         self._cfg = Configuration()
-        self._hosts: tuple[Host, ...] = ()
-        self._placed: dict[tuple[str, int], tuple[str, ...]] = {}
+        self._placement = placement.Placement()
 
     def holders_of(self, service: Service) -> tuple[str, ...]:
         """Return the addresses of a service's holders in rank order.
@@ -71,13 +70,8 @@
         :param service: The service.
         :returns: Addresses.
         """
-        key = (service.name, service.holders)
-        if key not in self._placed:
-            chosen = placement.holders(
-                service.name, self._hosts, service.holders
-            )
-            self._placed[key] = tuple(host.address for host in chosen)
-        return self._placed[key]
+        chosen = self._placement.holders(service.name, service.holders)
+        return tuple(host.address for host in chosen)
 
     def get(self, service: str) -> Holder | None:
         """Return the holder of a service, started if need be.
@@ -112,15 +106,23 @@
                 self._spawn(
                     held.holder.reconfigure(service, self._backends(service))
                 )
-        self.place(self._hosts)
+        self._placement.keep_only(
+            [
+                (service.name, service.holders)
+                for service in cfg.services.values()
+            ]
+        )
+        self._place()
 
     def place(self, hosts: Iterable[Host]) -> None:
         """Hold the services that belong to this daemon among some hosts.
 
         :param hosts: The usable hosts.
         """
-        self._hosts = tuple(hosts)
-        self._placed.clear()
+        self._placement.update(hosts)
+        self._place()
+
+    def _place(self) -> None:
         for name, service in self._cfg.services.items():
             addresses = self.holders_of(service)
             if self._own in addresses:
--- a/monsoonproxy/placement.py
+++ b/monsoonproxy/placement.py
@@ -1,7 +1,7 @@
 """Rendezvous hashing of hosts, spread over availability zones."""
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from monsoonproxy.models import Host
 
@@ -59,6 +59,65 @@
     return tuple(chosen[:count])
 
 
+class Placement:
+    """Keeps the hosts of many keys while hosts come and go.
+
+    Choosing anew scores every host for every key, which takes seconds with
+    2,400 hosts and 1,267 services. A host that leaves only affects the keys
+    that it was chosen for. A host that comes can only displace a chosen one:
+    it never moves a host that was not chosen ahead, so a choice among the
+    chosen hosts and the new ones gives the same result.
+    """
+
+    def __init__(self) -> None:
+        self._hosts: frozenset[Host] = frozenset()
+        self._chosen: dict[tuple[str, int], tuple[Host, ...]] = {}
+
+    def update(self, hosts: Iterable[Host]) -> None:
+        """Take new usable hosts into account.
+
+        :param hosts: The usable hosts, in any order.
+        """
+        usable = frozenset(hosts)
+        gone, joined = self._hosts - usable, usable - self._hosts
+        self._hosts = usable
+        for (key, count), chosen in tuple(self._chosen.items()):
+            if not gone.isdisjoint(chosen):
+                self._chosen.pop((key, count))
+            elif joined:
+                self._chosen[key, count] = holders(
+                    key, joined.union(chosen), count
+                )
+
+    def known(self) -> set[tuple[str, int]]:
+        """Return the keys that hosts are kept for.
+
+        :returns: Pairs of a key and the number of its hosts.
+        """
+        return set(self._chosen)
+
+    def keep_only(self, wanted: Collection[tuple[str, int]]) -> None:
+        """Forget other keys.
+
+        :param wanted: Pairs of a key and the number of its hosts.
+        """
+        for pair in self.known().difference(wanted):
+            self._chosen.pop(pair)
+
+    def holders(self, key: str, count: int) -> tuple[Host, ...]:
+        """Choose the hosts for a key, as :func:`holders` does.
+
+        :param key: Name of the service, or another key.
+        :param count: How many hosts are wanted.
+        :returns: Up to ``count`` hosts in rank order.
+        """
+        chosen = self._chosen.get((key, count))
+        if chosen is None:
+            chosen = holders(key, self._hosts, count)
+            self._chosen[key, count] = chosen
+        return chosen
+
+
 def _first_per_zone(hosts: tuple[Host, ...]) -> list[Host]:
     zones: dict[str, Host] = {}
     for host in hosts:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from monsoonproxy.models import Host
-from monsoonproxy.placement import holders
+from monsoonproxy.placement import Placement, holders
 from tests.fixtures import load_functions
 
 load_tests = load_functions(__name__)
@@ -73,3 +73,43 @@
     are more holders than zones.
     """
     _check_one_leaves()
+
+
+_HOST = st.builds(
+    Host,
+    st.integers(0, 11).map('10.0.0.{0}:7000'.format),
+    st.sampled_from(('a', 'b', 'c')),
+)
+_HOST_LISTS = st.lists(
+    st.lists(_HOST, max_size=12, unique_by=lambda host: host.address),
+    min_size=1,
+    max_size=8,
+)
+
+
+@given(_HOST_LISTS, st.integers(1, 5), st.text(max_size=8))
+def _check_updates(host_lists, wanted, name) -> None:
+    placement = Placement()
+    for hosts in host_lists:
+        placement.update(hosts)
+        assert placement.holders(name, wanted) == holders(name, hosts, wanted)
+
+
+def test_updates() -> None:
+    """Guards against daemons that place a service by their own history.
+
+    Hosts leave, come and change their zone, alone and together; the result has
+    to be the one that a daemon gets that has just started.
+    """
+    _check_updates()
+
+
+def test_forgotten_keys() -> None:
+    """Guards against placements of removed services that stay in memory."""
+    placement = Placement()
+    placement.update(_hosts(6, 3))
+    kept = placement.holders('kept', 2)
+    placement.holders('removed', 2)
+    placement.keep_only([('kept', 2)])
+    assert placement.holders('kept', 2) == kept
+    assert placement.known() == {('kept', 2)}
