--- a/emulator/capacity.py
+++ b/emulator/capacity.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import pathlib
+import statistics
 import tempfile
 import time
 from collections.abc import Callable
@@ -35,8 +36,11 @@
 #: Time in seconds for daemons to meet each other before a measurement.
 _SETTLE = 8.0
 _WINDOW = 6.0
+_FEWEST_POINTS = 3
 _STATEMENT_WINDOW = 3.5
 _MOST_SECONDS = 360
+#: Bytes per second to databases below which a daemon holds no service.
+_NO_TRAFFIC = 100
 _CONTROL_MEASURES = (
     'processor_share',
     'memory_bytes',
@@ -134,7 +138,19 @@
         / period
         for name in ('reads', 'writes')
     }
-    return {**mean, **store, 'each_daemon': each}
+    standby = [
+        rates['processor_share']
+        for rates in each
+        if rates['database_bytes_per_s'] < _NO_TRAFFIC
+    ]
+    return {
+        **mean,
+        **store,
+        'each_daemon': each,
+        'processor_share_without_service': statistics.fmean(standby)
+        if standby
+        else None,
+    }
 
 
 async def measure_control(site: Site) -> dict[str, Any]:
@@ -253,17 +269,26 @@
 def _fits(
     points: list[dict[str, Any]], over: str, phase: str
 ) -> dict[str, dict[str, float]]:
-    names = (*_CONTROL_MEASURES, 'store_reads_per_s', 'store_writes_per_s')
-    return {
-        name: slope(
-            [
-                (point.get(over, point[phase].get(over)), point[phase][name])
-                for point in points
-            ]
-        )
+    names = (
+        *_CONTROL_MEASURES,
+        'store_reads_per_s',
+        'store_writes_per_s',
+        'processor_share_without_service',
+    )
+    pairs = {
+        name: [
+            (point.get(over, point[phase].get(over)), point[phase][name])
+            for point in points
+            if point[phase][name] is not None
+        ]
         for name in names
         if name != over
     }
+    return {
+        name: slope(found)
+        for name, found in pairs.items()
+        if len(found) >= _FEWEST_POINTS
+    }
 
 
 async def measure() -> dict[str, Any]:
--- a/emulator/capacity_decisions.py
+++ b/emulator/capacity_decisions.py
@@ -4,13 +4,19 @@
 on one machine can have.
 """
 
+import asyncio
 import json
+import multiprocessing
+import os
 import random
 import time
 import tracemalloc
 from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
 from typing import Any
 
+import zmq
+
 from emulator.experiment_spread import configuration_of
 from monsoonproxy import membership
 from monsoonproxy.claims import TermClaims
@@ -19,6 +25,7 @@
 from monsoonproxy.declarations import MembershipRules
 from monsoonproxy.hosting import Hosting
 from monsoonproxy.models import Host
+from monsoonproxy.peers import Link
 from monsoonproxy.platforms import HttpPlatform
 from monsoonproxy.supervisors import Supervisor
 
@@ -27,6 +34,8 @@
 _PLACED_SERVICES = 100
 _ZONES = 8
 _REPEATS = 50
+#: Links to as many peers as the design scale has are the last to be opened.
+_LINKS = (100, 200, 300, 2399)
 _OWN = '127.9.9.9:7000'
 
 
@@ -51,6 +60,7 @@
         'placement': [_placement(count) for count in _HOSTS],
         'membership': [_membership(count) for count in _HOSTS],
         'configuration': [_configuration(count) for count in _SERVICES],
+        'links': _links(),
     }
 
 
@@ -149,3 +159,55 @@
             lambda: Configuration.from_document(document)
         ),
     }
+
+
+def _links() -> list[dict[str, Any]]:
+    """Open links to peers until all are open or the library refuses.
+
+    Each count has its own process, since closed links leave memory behind.
+    """
+    with ProcessPoolExecutor(
+        max_workers=1,
+        mp_context=multiprocessing.get_context('spawn'),
+        max_tasks_per_child=1,
+    ) as pool:
+        return list(pool.map(_open_links_alone, _LINKS))
+
+
+def _open_links_alone(count: int) -> dict[str, Any]:
+    return asyncio.run(_open_links(count))
+
+
+async def _open_links(count: int) -> dict[str, Any]:
+    links: list[Link] = []
+    error = ''
+    files, memory = _open_files(), _resident()
+    try:
+        for number in range(count):
+            address = f'127.2.{number // 250}.{number % 250 + 1}:9'
+            links.append(Link(address, b'own', handler=_ignore, lost=_ignore))
+    except zmq.ZMQError as exc:
+        error = str(exc)
+    figures = {
+        'wanted': count,
+        'opened': len(links),
+        'error': error,
+        'open_files': _open_files() - files,
+        'memory_bytes': _resident() - memory,
+    }
+    for link in links:
+        link.close()
+    return figures
+
+
+def _open_files() -> int:
+    return len(os.listdir('/proc/self/fd'))
+
+
+def _resident() -> int:
+    with open('/proc/self/statm') as statm:
+        return int(statm.read().split()[1]) * os.sysconf('SC_PAGE_SIZE')
+
+
+def _ignore(*_values: object) -> None:
+    """Take messages and events of links that are never connected."""
