--- a/emulator/experiment_failover.py
+++ b/emulator/experiment_failover.py
@@ -28,7 +28,6 @@
 _CALM_RUNS = 100
 _SCHEDULES = 2000
 _PROCESSES = 4
-_COMPARED = 4
 _NEVER = -1_000_000
 
 
@@ -200,12 +199,6 @@
     return gaps[min(len(gaps) * percent // 100, len(gaps) - 1)]
 
 
-def _faults_to_measure(rules_name: str) -> list[str]:
-    """Return all faults for the rules, the first few for a baseline."""
-    names = list(FAULTS)
-    return names if rules_name == 'rules' else names[:_COMPARED]
-
-
 def count_false(rules_name: str) -> dict[str, int]:
     """Count failovers caused by disturbances below the detection times.
 
