--- a/monsoonproxy/cli.py
+++ b/monsoonproxy/cli.py
@@ -320,9 +320,7 @@
     :raises MonsoonError: If there is no such adapter.
     """
     if not url:
-        raise PlatformError(
-            f'no platform: use --platform-url or {_ENVIRONMENT}'
-        )
+        raise PlatformError(f'use --platform-url or set {_ENVIRONMENT}')
     # Adapters register themselves when their module is imported.
     importlib.import_module('monsoonproxy.platforms')
     adapters = importlib.import_module('monsoonproxy.adapters')
