--- a/emulator/processes.py
+++ b/emulator/processes.py
@@ -41,7 +41,8 @@
     :param inode: Its number, unique while it exists.
     :param local: Local port.
     :param remote: Remote port.
-    :param sent: Bytes that the other side has acknowledged.
+    :param sent: Bytes that the other side has acknowledged. The kernel counts
+        the SYN of the end that connected as one byte.
     :param received: Bytes received.
     """
 
