--- a/monsoonproxy/actions.py
+++ b/monsoonproxy/actions.py
@@ -1,6 +1,7 @@
 """What the commands of ``monsoonctl`` do and print."""
 
 import asyncio
+import contextlib
 import importlib
 import pathlib
 from collections.abc import Callable
@@ -140,10 +141,12 @@
         hosts = await platform.hosts()
     except PlatformError:
         return []
-    addresses = [host.address for host in hosts][:_NOTIFIED]
-    for address in addresses:
-        await inquiries.notify(address, version)
-    return addresses
+    notified: list[str] = []
+    for host in hosts[:_NOTIFIED]:
+        with contextlib.suppress(PeerError):
+            await inquiries.notify(host.address, version)
+            notified.append(host.address)
+    return notified
 
 
 async def show(platform: operations.Platform, version: int | None) -> Answer:
--- a/monsoonproxy/callers.py
+++ b/monsoonproxy/callers.py
@@ -25,6 +25,11 @@
 _NOTHING: dict[Any, Any] = {}
 
 
+_NOT_RUN = 4100
+_NOT_READY = 'the daemon has no configuration yet'
+_READY_WAIT = 1_000
+
+
 class Identity(BaseSession):
     """Who a caller is, as ``mysql_mimic`` stores it."""
 
@@ -197,6 +202,13 @@
         :returns: An OK packet, or an ERR packet if there is no such service.
         """
         service = self.state.service
+        if not self.frontend.ready:
+            self.session.username = None
+            return packets.error(
+                _NOT_RUN,
+                'HY000',
+                f'not run: {_NOT_READY}; come back after {_READY_WAIT} ms',
+            )
         if self.may_use(service):
             return packets.ok(self.status)
         self.session.username = None
--- a/monsoonproxy/claims.py
+++ b/monsoonproxy/claims.py
@@ -64,6 +64,9 @@
             found = _parse(await self._platform.read(key))
         except PlatformError:
             return signals.ClaimFailed()
+        if found == _Claim(term, self.candidate):
+            # An earlier write of this claim took effect; its answer was lost.
+            return signals.TermClaimed(term)
         return signals.ClaimRefused(max(found.term, term))
 
 
--- a/monsoonproxy/entry.py
+++ b/monsoonproxy/entry.py
@@ -80,6 +80,14 @@
         """
         return self._cfg is None or service in self._cfg.services
 
+    def used_holders(self) -> set[str]:
+        """Return the holders with open requests or transactions.
+
+        :returns: Their addresses.
+        """
+        waiting = {request.address for request in self._open.values()}
+        return waiting | set(self._pinned.values())
+
     def open_requests(self) -> int:
         """Return the number of requests in flight.
 
--- a/monsoonproxy/executions.py
+++ b/monsoonproxy/executions.py
@@ -16,7 +16,7 @@
     TermChangedError,
 )
 from monsoonproxy.groups import Group
-from monsoonproxy.models import StatementKind
+from monsoonproxy.models import Position, StatementKind
 from monsoonproxy.routing import Route
 
 #: Bytes of an answer that are kept back until its freshness is checked.
@@ -143,11 +143,17 @@
                 affected_rows=answer.affected_rows,
                 insert_id=answer.insert_id,
                 warnings=answer.warnings,
-                position=answer.position,
+                position=self._floor_after(answer),
             )
         else:
             await call.refuse('a failover undid the write', RETRY_AFTER)
 
+    def _floor_after(self, answer: Answer) -> Position | None:
+        """Return the session's floor after a write, in the term that has it."""
+        if answer.position is None:
+            return None
+        return self.group.view.floor(answer.position)
+
     async def in_transaction(self, call: Call, tx: Transaction) -> bool:
         """Run a statement of an open transaction other than its end.
 
--- a/monsoonproxy/frontends.py
+++ b/monsoonproxy/frontends.py
@@ -100,7 +100,10 @@
     ) -> None:
         self.executor = executor
         self.signer = signer
-        self.identities = Identities(users or {})
+        self._users = dict(users or {})
+        self.identities = Identities(self._users)
+        #: Whether users are known; until then nobody may log in.
+        self.ready = True
         #: Services that a user may use, the default first; all if empty.
         self.grants: Mapping[str, tuple[str, ...]] = {}
         self.limits = limits or Limits()
@@ -132,6 +135,25 @@
         address = self._server.sockets[0].getsockname()
         return int(address[1])
 
+    def change_users(
+        self, users: Mapping[str, str], grants: Mapping[str, tuple[str, ...]]
+    ) -> None:
+        """Replace the users, and end the connections of those affected.
+
+        They end between requests and outside transactions.
+
+        :param users: Passwords by user name; everyone is accepted if empty.
+        :param grants: Services by user name, the default first.
+        """
+        old, self._users = self._users, dict(users)
+        self.identities = Identities(users)
+        self.grants = grants
+        self.ready = True
+        for connection in tuple(self.connections):
+            name = connection.session.username
+            if name is not None and _is_revoked(name, old, self._users):
+                connection.leave()
+
     def stop_accepting(self) -> None:
         """Close the listening socket; open connections go on."""
         if self._server is not None:
@@ -179,3 +201,11 @@
 
     def _accept(self) -> asyncio.BaseProtocol:
         return CallerConnection(self).stream
+
+
+def _is_revoked(
+    name: str, old: Mapping[str, str], new: Mapping[str, str]
+) -> bool:
+    if not new:
+        return False
+    return name not in new or old.get(name) != new[name]
--- a/monsoonproxy/groups.py
+++ b/monsoonproxy/groups.py
@@ -56,6 +56,8 @@
         self._silent: set[str] = set()
         #: Backend servers that get no new work.
         self.leaving: frozenset[str] = frozenset()
+        #: Whether a write is acknowledged only once a majority has it.
+        self.waits_for_majority = True
         #: Latest position of the primary and when it was asked for.
         self._samples: dict[str, tuple[Position, Millis]] = {}
 
@@ -95,9 +97,11 @@
         self.handle(signals.MembersChanged(names))
         for name in removed:
             await self._forget(name)
+        for name in self.leaving - leaving:
+            self.router.add(name)
+        self.leaving = frozenset(leaving)
         for name in leaving:
             self.mark_leaving(name)
-        self.leaving = frozenset(leaving)
         self._notify()
 
     async def _forget(self, name: str) -> None:
@@ -161,7 +165,7 @@
             went on without it, ``None`` if that isn't known yet.
         """
         view = self.view
-        if view.acknowledged(position):
+        if view.acknowledged(position) or not self.waits_for_majority:
             return True
         done = view.committed
         if done is None or done.term <= position.term or not view.lineage:
--- a/monsoonproxy/holders.py
+++ b/monsoonproxy/holders.py
@@ -9,7 +9,7 @@
 import attrs
 from msgspec.structs import replace
 
-from monsoonproxy import admission, messages, queues, retries
+from monsoonproxy import admission, messages, queues, records, retries
 from monsoonproxy.attempts import NOT_HELD
 from monsoonproxy.backends import Backend
 from monsoonproxy.calls import Call, Send
@@ -18,7 +18,6 @@
 from monsoonproxy.exceptions import (
     BackendError,
     ConnectionLostError,
-    MarksError,
     PeerError,
     TermChangedError,
 )
@@ -137,6 +136,10 @@
         call = Call(next(self._numbers), sender, req, now, send)
         self._running.calls[(sender, req.request)] = call
         self.group.touch()
+        if req.request_id is not None and not records.is_valid(req.request_id):
+            text = 'request_id: not a valid id'
+            self._start(call, call.fail(_BAD_MARK, _SQLSTATE, text))
+            return
         tx = self.transactions.get(call)
         if tx is not None:
             self._start(call, self.transactions.run(call, tx))
@@ -378,8 +381,6 @@
             sent = getattr(exc, 'sent', False)
             call.primary_only = isinstance(exc, StaleAnswerError)
             await self._again(call, sent=sent, reason=str(exc))
-        except MarksError as exc:
-            await call.fail(_BAD_MARK, _SQLSTATE, str(exc))
 
     async def _run_kind(self, call: Call, server: str) -> None:
         if call.kind is StatementKind.READ:
--- a/monsoonproxy/hosting.py
+++ b/monsoonproxy/hosting.py
@@ -13,7 +13,8 @@
 from monsoonproxy.clock import Clock, seconds
 from monsoonproxy.configuration import Configuration
 from monsoonproxy.credentials import read_credentials
-from monsoonproxy.declarations import Service
+from monsoonproxy.declarations import MAJORITY, Service
+from monsoonproxy.exceptions import ConfigurationError
 from monsoonproxy.failover import Failover
 from monsoonproxy.groups import Group
 from monsoonproxy.holders import Holder, leaving_members
@@ -103,9 +104,7 @@
             if service is None or _needs_restart(held.holder.service, service):
                 self._release(name)
             elif service != held.holder.service:
-                self._spawn(
-                    held.holder.reconfigure(service, self._backends(service))
-                )
+                self._spawn(self._reconfigure(held.holder, service))
         self._placement.keep_only(
             [
                 (service.name, service.holders)
@@ -139,7 +138,11 @@
     def _hold(self, service: Service, rank: int) -> None:
         held = self._held.get(service.name)
         if held is None:
-            self._start(service, rank)
+            try:
+                self._start(service, rank)
+            except ConfigurationError as exc:
+                # Other services must not suffer from it.
+                _log.error('{} can not be held: {}', service.name, exc)
         elif held.rank != rank:
             held.rank = rank
             held.holder.group.handle(signals.RankChanged(rank))
@@ -160,6 +163,7 @@
         group = Group(
             service.name, backends, self._claims, failover, self._clock
         )
+        group.waits_for_majority = service.acknowledge == MAJORITY
         holder = Holder(service, group, self._clock, self._rng)
         group.on_change = holder.group_changed
         number = next(self._numbers)
@@ -188,6 +192,12 @@
             for member in service.members
         }
 
+    async def _reconfigure(self, holder: Holder, service: Service) -> None:
+        try:
+            await holder.reconfigure(service, self._backends(service))
+        except ConfigurationError as exc:
+            _log.error('{} keeps its old rules: {}', service.name, exc)
+
     def _release(self, name: str) -> None:
         held = self._held.pop(name)
         _log.info('Releasing {}', name)
--- a/monsoonproxy/keys.py
+++ b/monsoonproxy/keys.py
@@ -1,8 +1,9 @@
 """Key files: keys of session tokens and CURVE keys of the daemons.
 
-All daemons of a site have the same file. It is TOML with two lists, newest
-first: ``tokens`` and ``peers``. During a rotation the file holds the new keys
-and those that are still accepted.
+All daemons of a site have the same file. It is TOML with two lists. ``tokens``
+has the newest key first. ``peers`` has the pair in use, the next one, and the
+previous one: a pair is known everywhere for one rotation before it is used, so
+daemons with the old and the new file reach each other.
 """
 
 import os
@@ -35,8 +36,8 @@
     """The keys of a site.
 
     :param tokens: Keys of session tokens, newest first.
-    :param peers: Key pairs of the daemons, newest first; empty for
-        connections between daemons without encryption.
+    :param peers: Key pairs of the daemons: the one in use, the next and the
+        previous one; empty for connections without encryption.
     """
 
     tokens: tuple[Key, ...]
@@ -69,7 +70,7 @@
     :param now: Wall-clock time.
     :returns: The keys; the token key signs at once.
     """
-    return KeyRing((_token_key(now),), (_peer_keys(),))
+    return KeyRing((_token_key(now),), (_peer_keys(), _peer_keys()))
 
 
 def rotate(ring: KeyRing, now: Millis, overlap: int) -> KeyRing:
@@ -87,10 +88,11 @@
         for key in ring.tokens
         if not key.expired(now)
     )
-    # Two pairs are enough: a daemon accepts both until all have restarted.
-    return KeyRing(
-        (_token_key(active_from), *kept), (_peer_keys(), *ring.peers[:1])
-    )
+    tokens = (_token_key(active_from), *kept)
+    if len(ring.peers) < 2:
+        return KeyRing(tokens, (*ring.peers, _peer_keys()))
+    in_use, following = ring.peers[:2]
+    return KeyRing(tokens, (following, _peer_keys(), in_use))
 
 
 def load(path: str) -> KeyRing:
--- a/monsoonproxy/links.py
+++ b/monsoonproxy/links.py
@@ -2,14 +2,18 @@
 
 from collections.abc import Callable, Sequence
 
+import zmq
+
 from monsoonproxy import messages
-from monsoonproxy.clock import seconds
+from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.exceptions import PeerError
 from monsoonproxy.peers import CurveKeys, Link, LostHandler, ReplyHandler
 from monsoonproxy.supervisors import Supervisor
 
 #: Time in ms that a first message waits for its connection.
 _CONNECT_WAIT = 300
+#: Time in ms without a message after which a connection is closed.
+_IDLE_LIMIT = 10_000
 
 LocalHandler = Callable[[messages.Message], None]
 
@@ -42,6 +46,8 @@
         self._lost = lost
         self._keys = keys
         self._links: dict[str, Link] = {}
+        self._used_at: dict[str, Millis] = {}
+        self._clock = Clock()
         self.local: LocalHandler | None = None
 
     async def send(self, address: str, message: messages.Message) -> None:
@@ -60,6 +66,7 @@
         if link is None:
             link = self.open(address)
             await link.wait_connected(seconds(_CONNECT_WAIT))
+        self._used_at[address] = self._clock.now()
         await link.send(message)
 
     async def try_send(self, address: str, message: messages.Message) -> bool:
@@ -80,26 +87,41 @@
 
         :param address: The peer.
         :returns: Its link.
+        :raises PeerError: If the address is malformed or the process has no
+            socket left.
         """
-        link = Link(
-            address,
-            self._identity,
-            handler=self._handler,
-            lost=self._lost,
-            keys=self._keys,
-        )
+        try:
+            link = Link(
+                address,
+                self._identity,
+                handler=self._handler,
+                lost=self._lost,
+                keys=self._keys,
+            )
+        except zmq.ZMQError as exc:
+            raise PeerError(f'{address} can not be connected: {exc}') from exc
         self._links[address] = link
         self._supervisor.start_child(f'link {address}', link.run)
         return link
 
-    async def keep_only(self, addresses: set[str]) -> None:
-        """Close the connections to all other peers.
+    async def close_idle(self, needed: set[str]) -> None:
+        """Close the connections that have not been used for a while.
 
-        :param addresses: The peers that are still known.
+        Each connection costs heartbeats and memory, and a daemon compares
+        versions with any peer of the site.
+
+        :param needed: The peers with open requests or transactions.
         """
-        for address in self._links.keys() - addresses:
-            await self._supervisor.stop_child(f'link {address}')
-            self._links.pop(address).close()
+        limit = self._clock.now() - _IDLE_LIMIT
+        for address in self._links.keys() - needed:
+            if self._used_at.get(address, 0) < limit:
+                await self._close(address)
+
+    async def _close(self, address: str) -> None:
+        link = self._links.pop(address)
+        self._used_at.pop(address, None)
+        await self._supervisor.stop_child(f'link {address}')
+        link.close()
 
     def connected(self) -> set[str]:
         """Return the peers with an established connection.
@@ -112,4 +134,5 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self.keep_only(set())
+        for address in tuple(self._links):
+            await self._close(address)
--- a/monsoonproxy/marks.py
+++ b/monsoonproxy/marks.py
@@ -17,7 +17,8 @@
 _Field = tuple[str, _Reader]
 
 _NUMBER = re.compile('[0-9]{1,9}')
-_REQUEST_ID = re.compile('[!-~]{1,128}')
+#: Request ids need no escaping in the statements that record them.
+_REQUEST_ID = re.compile(r'[A-Za-z0-9_.:\-]{1,64}')
 _CLASS = re.compile('[A-Za-z][A-Za-z0-9_-]{0,31}')
 _TOKEN = re.compile('[A-Za-z0-9_=-]{1,512}')
 #: Longer comments are not read; all marks together are shorter.
--- a/monsoonproxy/peers.py
+++ b/monsoonproxy/peers.py
@@ -86,8 +86,8 @@
 
     :param address: ``ip:port`` to bind.
     :param handler: Called with the sender's identity and each message.
-    :param keys: CURVE key pairs, newest first; empty for plain sockets. Only
-        senders with one of these pairs are let in.
+    :param keys: CURVE key pairs, the one in use first; empty for plain
+        sockets. Only senders with one of these pairs are let in.
     """
 
     def __init__(
@@ -184,9 +184,9 @@
     :param identity: Own identity, unique per incarnation.
     :param handler: Called with the peer's address and each reply.
     :param lost: Called with the peer's address when the connection breaks.
-    :param keys: CURVE key pairs, newest first; empty for plain sockets. If
-        the peer refuses one, the next is tried, so that daemons with old and
-        new keys reach each other during a rotation.
+    :param keys: CURVE key pairs, the one in use first; empty for plain
+        sockets. If the peer does not have that one in use, the others are
+        tried as its key, as during a rotation.
     """
 
     def __init__(
@@ -284,7 +284,7 @@
 
     def _try_next_key(self) -> None:
         if self._attempts == 0:
-            _log.warning('{} refused the newest key', self.address)
+            _log.warning('{} has another key in use', self.address)
         self._attempts += 1
         self._socket.disconnect(f'tcp://{self.address}')
         self._connect()
--- a/monsoonproxy/recorded.py
+++ b/monsoonproxy/recorded.py
@@ -99,7 +99,6 @@
         """
         request_id = call.req.request_id
         assert request_id is not None
-        records.check_id(request_id)
         backend = self._group.backends[server]
         async with self._executor.leased(backend, call) as lease:
             sent_at = self._clock.now()
--- a/monsoonproxy/records.py
+++ b/monsoonproxy/records.py
@@ -9,7 +9,7 @@
 import attrs
 
 from monsoonproxy.adapters import Answer, BackendConnection
-from monsoonproxy.exceptions import BackendError, MarksError
+from monsoonproxy.exceptions import BackendError
 
 TABLE = 'monsoonproxy_requests'
 
@@ -34,18 +34,16 @@
     insert_id: int
 
 
-def check_id(request_id: str) -> str:
+def is_valid(request_id: str) -> bool:
     """Check the form of a request id.
 
+    The entry side checks it too, but a holder puts it into statements and
+    must not rely on its peers.
+
     :param request_id: The caller's id.
-    :returns: The id, which needs no escaping in a statement.
-    :raises MarksError: If it has another form.
+    :returns: Whether it can stand in a statement without escaping.
     """
-    if not _ID.fullmatch(request_id):
-        raise MarksError(
-            'request_id: must be 1 to 64 letters, digits or the characters _.:-'
-        )
-    return request_id
+    return _ID.fullmatch(request_id) is not None
 
 
 async def insert(conn: BackendConnection, request_id: str) -> bool:
--- a/monsoonproxy/server.py
+++ b/monsoonproxy/server.py
@@ -22,7 +22,6 @@
 from monsoonproxy.frontends import Frontend
 from monsoonproxy.groups import candidate_name
 from monsoonproxy.hosting import Hosting
-from monsoonproxy.identities import Identities
 from monsoonproxy.links import Links
 from monsoonproxy.logs import log_for
 from monsoonproxy.metrics import Metrics
@@ -40,6 +39,8 @@
 #: Time in ms before the end of a shutdown at which open transactions are
 #: rolled back.
 _TRANSACTION_END = 5_000
+#: Time in ms between two looks at unused connections to peers.
+_LINK_CHECK = 1_000
 #: Time in ms between two looks at the key file.
 _KEY_CHECK = 2_000
 #: A task that has nothing left to do may return.
@@ -95,6 +96,7 @@
         self._listener = Listener(own, self._dispatch.request, ring.peers)
         self._dispatch.listener = self._listener
         self.frontend = Frontend(self.entry, self._signer)
+        self.frontend.ready = False
         self.control.on_configuration = self._configured
         self.control.on_hosts = self._hosts_changed
         self._stopping = asyncio.Event()
@@ -129,6 +131,7 @@
         root.start_child('listener', self._listener.run)
         root.start_child('control', self.control.run)
         root.start_child('senders', self._dispatch.watch_senders)
+        root.start_child('idle links', self._close_idle_links)
         root.start_child('keys', self._watch_keys, _ONCE)
 
     async def _serve_metrics(self) -> web.AppRunner | None:
@@ -168,12 +171,11 @@
 
     def _configured(self, cfg: Configuration) -> None:
         self.entry.configure(cfg)
-        self.frontend.identities = Identities(
-            {name: f'*{user.password_hash}' for name, user in cfg.users.items()}
+        users = cfg.users.items()
+        self.frontend.change_users(
+            {name: f'*{user.password_hash}' for name, user in users},
+            {name: user.services for name, user in users},
         )
-        self.frontend.grants = {
-            name: user.services for name, user in cfg.users.items()
-        }
         self.hosting.configure(cfg)
 
     def _hosts_changed(self, hosts: tuple[Host, ...]) -> None:
@@ -205,6 +207,11 @@
             'services': [holder.status() for holder in self.hosting.all()],
         }
 
+    async def _close_idle_links(self) -> None:
+        while True:
+            await asyncio.sleep(seconds(_LINK_CHECK))
+            await self._links.close_idle(self.entry.used_holders())
+
     async def _watch_keys(self) -> None:
         """Take new token keys into use when the key file changes."""
         path = self.settings.key_file
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -15,7 +15,7 @@
 import uvloop
 
 #: Time in seconds after which a test has failed; far above any test's need.
-_TEST_LIMIT = 300
+_TEST_LIMIT = 120
 
 _fixtures: dict[str, Callable[..., Any]] = {}
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -214,9 +214,11 @@
     # The old key stays, with an end; the new one signs a little later.
     assert second.tokens[1].key_id == first.tokens[0].key_id
     assert second.tokens[1].expires > second.tokens[0].active_from
-    assert second.peers[1:] == first.peers
+    # The pair that is now in use was known as the next one before.
+    assert second.peers[0] == first.peers[1]
+    assert second.peers[2] == first.peers[0]
     code, text = await tool.run('keys', 'show', 'keys.toml', '--json')
-    assert len(json.loads(text)) == 4
+    assert len(json.loads(text)) == 5
     assert all(key.secret.hex() not in text for key in second.tokens)
     assert all(pair.secret.decode() not in text for pair in second.peers)
     file.write_text('[[tokens]]\nsecret = "hunter2"')
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -95,6 +95,22 @@
     assert wire.error_code(await stranger.log_in(b'hire-3')) == 1049
 
 
+async def test_login_before_configuration(running: Running) -> None:
+    """Guards against a login that nobody checked because users are unknown."""
+    running.frontend.ready = False
+    caller = await wire.RawCaller.connect(running.port)
+    assert wire.error_code(await caller.log_in(b'hire')) == 4100
+    assert await caller.closed()
+
+
+async def test_removed_user(running: Running) -> None:
+    """Guards against a removed user whose connection stays open."""
+    caller = await running.raw()
+    running.frontend.change_users({'someone': '*' + 40 * '0'}, {})
+    assert wire.error_code(await caller.read()) == 4100
+    assert await caller.closed()
+
+
 async def test_large_packet(running: Running) -> None:
     """Guards against a packet that fills the memory."""
     good, large = await running.raw(), await running.raw()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,7 +7,8 @@
 import zmq
 from zmq.asyncio import Context
 
-from monsoonproxy import messages
+from monsoonproxy import keys, messages
+from monsoonproxy.clock import Clock
 from monsoonproxy.exceptions import PeerError
 from monsoonproxy.peers import Authenticator, CurveKeys, Link, Listener
 from tests.fixtures import fixture, load_functions
@@ -112,13 +113,26 @@
     assert not connected
 
 
-async def test_rotation_keeps_peers_connected() -> None:
-    """Guards against daemons that lose each other during a rotation."""
-    old, new = _keys(), _keys()
-    made = Pair((old, new), (new, old))
+async def _connects(server: keys.KeyRing, client: keys.KeyRing) -> bool:
+    # One authenticator per event loop, as in a daemon.
+    made = Pair(server.peers, client.peers)
     connected = await made.link.wait_connected(10)
     await made.close()
-    assert connected
+    return connected
+
+
+async def test_link_to_a_daemon_with_the_old_keys() -> None:
+    """Guards against daemons that lose each other during a rotation."""
+    now = Clock().wall()
+    old = keys.create(now)
+    assert await _connects(old, keys.rotate(old, now, 1000))
+
+
+async def test_link_to_a_daemon_with_the_new_keys() -> None:
+    """Guards against daemons that lose each other during a rotation."""
+    now = Clock().wall()
+    old = keys.rotate(keys.create(now), now, 1000)
+    assert await _connects(keys.rotate(old, now, 1000), old)
 
 
 async def test_generated_identities_are_dropped() -> None:
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -154,9 +154,9 @@
     """Guards against marks that are lost or mixed up."""
     comment = (
         "/* action='%2Fa%20b',max_age_ms='500',deadline_ms='10' ,"
-        "repeatable='false',request_id='a%27b',class='return',token='x_-='*/ ;"
+        "repeatable='false',request_id='a%3Ab',class='return',token='x_-='*/ ;"
     )
-    whole = Marks(500, 10, False, "a'b", 'return', 'x_-=')
+    whole = Marks(500, 10, False, 'a:b', 'return', 'x_-=')
     assert _marks(comment) == whole
     assert _marks("/*max_age_ms='500'*/", max_age_ms=b'7') == Marks(7)
     assert _marks('', request_id=b'r', traceparent=b'x') == Marks(
@@ -171,7 +171,8 @@
     for pair in (
         "max_age_ms='-1'", "max_age_ms='3600001'", "max_age_ms='1.5'",
         "deadline_ms='0'", "deadline_ms='25001'", "repeatable='yes'",
-        "request_id=''", "request_id='a%20b'", "class='%'", "token='!'",
+        "request_id=''", "request_id='a%20b'",
+        "request_id='a%27b'", "class='%'", "token='!'",
         'max_age_ms=500', "a='b', deadline_ms=\"5\"", "max_age_ms='%D9%A1'",
     ):  # fmt: skip
         message = _marks(f'/* {pair} */')
