Never run a statement of a lost transaction by itself

Cause: when the holder of an open transaction answered that it no longer holds the service, the entry side sent the statement to the next holder, which ran it outside any transaction. A holder that was being released also let requests wait for connections that it no longer opens, until their deadlines. Ruled out: ending open transactions at the release; they may finish within drain_timeout. Conclusion: a session pinned to a holder gets 'not run' and the loss of its transaction; a holder that is being released still takes the statements of its open transactions, and sends all others back.

--- a/monsoonproxy/attempts.py
+++ b/monsoonproxy/attempts.py
@@ -59,12 +59,14 @@
     :param hopeless: Whether another attempt could do harm.
     :param may_have_run: Whether any attempt may have run. Once it is set, no
         later refusal may be passed on as ``not run``.
+    :param transaction_lost: Whether the session's transaction is gone.
     """
 
     started: bool = False
     answered: bool = False
     hopeless: bool = False
     may_have_run: bool = False
+    transaction_lost: bool = False
 
     @property
     def ended(self) -> bool:
@@ -81,8 +83,11 @@
         :param pinned: Whether it belongs to an open transaction.
         """
         self.may_have_run = self.may_have_run or lost.ran
-        if lost.ran:
-            self.hopeless = self.started or pinned or not may_repeat(req)
+        self.transaction_lost = self.transaction_lost or pinned
+        # Another holder would run a statement of a lost transaction by itself.
+        self.hopeless = self.transaction_lost
+        if lost.ran and not self.hopeless:
+            self.hopeless = self.started or not may_repeat(req)
 
     def truthful(self, reply: messages.Reply) -> messages.Reply:
         """Correct a refusal after an attempt that may have run.
--- a/monsoonproxy/backends.py
+++ b/monsoonproxy/backends.py
@@ -221,6 +221,7 @@
     def stop_lending(self) -> None:
         """Close idle connections; leased ones close on their return."""
         self._run(self._pool.stop(pools.CloseReason.NOT_HOLDER))
+        self._fail_waiting(ConnectionLostError('the service is released'))
 
     async def close(self) -> None:
         """Close all idle connections and wait until they are closed."""
--- a/monsoonproxy/dispatch.py
+++ b/monsoonproxy/dispatch.py
@@ -105,7 +105,7 @@
             holder.end_sender(sender)
 
     def _submit(self, sender: bytes, req: messages.StatementRequest) -> None:
-        holder = self._hosting.get(req.service)
+        holder = self._hosting.find(req.service, (sender, req.session))
         if holder is None:
             refusal = messages.Refusal(req.request, NOT_HELD, _RETRY_AFTER)
             self._spawn(self._answer(sender, refusal))
--- a/monsoonproxy/entry.py
+++ b/monsoonproxy/entry.py
@@ -302,7 +302,8 @@
         if progress.may_have_run:
             return messages.Unknown(req.request, 'the holder was lost')
         reason = 'no holder of the service can be reached'
-        if self._pinned.pop(req.session, None) is not None:
+        pinned = self._pinned.pop(req.session, None)
+        if progress.transaction_lost or pinned is not None:
             reason = 'the transaction was rolled back because its holder left'
         return messages.Refusal(req.request, reason, _NO_HOLDER_RETRY)
 
--- a/monsoonproxy/holders.py
+++ b/monsoonproxy/holders.py
@@ -77,6 +77,7 @@
         self._tickets: dict[int, queues.Ticket] = {}
         self._running = _Running()
         self._pump_due = False
+        self._released = False
         self.reads: dict[str, int] = {}
 
     async def run(self) -> None:
@@ -106,6 +107,7 @@
 
     async def hand_over(self) -> None:
         """Send the waiting requests back, so that another holder runs them."""
+        self._released = True
         self.group.stop_lending()
         waiting = tuple(self._waiting.values())
         self._waiting.clear()
@@ -403,6 +405,8 @@
         repeatable = call.req.repeatable
         if not begins and not retries.may_retry(call.kind, repeatable, sent):
             await call.unknown(reason)
+        elif self._released:
+            await call.refuse(NOT_HELD, RETRY_AFTER)
         elif now < call.deadline and self._budget.take(now):
             asyncio.get_running_loop().call_soon(self._offer, call)
             self._waiting[call.number] = call
--- a/monsoonproxy/hosting.py
+++ b/monsoonproxy/hosting.py
@@ -61,6 +61,7 @@
         self._rng = rng
         self._held: dict[str, _Held] = {}
         self._draining: set[asyncio.Task[None]] = set()
+        self._released: list[Holder] = []
         self._numbers = itertools.count(1)
         self._cfg = Configuration()
         self._placement = placement.Placement()
@@ -74,24 +75,28 @@
         chosen = self._placement.holders(service.name, service.holders)
         return tuple(host.address for host in chosen)
 
-    def get(self, service: str) -> Holder | None:
-        """Return the holder of a service, started if need be.
-
-        A request may arrive at a daemon that does not consider itself a
-        holder, since host lists differ for a while. It is served all the same.
+    def find(self, service: str, key: tuple[bytes, int]) -> Holder | None:
+        """Return the holder that takes a session's request.
 
         :param service: Name of the service.
-        :returns: The holder, or ``None`` if the service is not declared.
+        :param key: Sender and session. The statements of an open transaction
+            go to its holder, also while that is being released.
+        :returns: The holder, or ``None`` if this daemon does not hold the
+            service.
         """
+        for holder in self._released:
+            if holder.service.name == service and key in holder.transactions:
+                return holder
         held = self._held.get(service)
         return held.holder if held else None
 
     def all(self) -> tuple[Holder, ...]:
-        """Return the holders of all held services.
+        """Return the holders, with those that are being released.
 
         :returns: The holders.
         """
-        return tuple(held.holder for held in self._held.values())
+        held = tuple(held.holder for held in self._held.values())
+        return (*held, *self._released)
 
     def configure(self, cfg: Configuration) -> None:
         """Take a new configuration into use.
@@ -211,12 +216,14 @@
     async def _drain(self, held: _Held) -> None:
         """Let a holder finish what it has, then stop its tasks."""
         holder = held.holder
+        self._released.append(holder)
         await holder.hand_over()
         deadline = self._clock.now() + holder.service.drain_timeout
         while holder.open_requests() and self._clock.now() < deadline:
             await asyncio.sleep(seconds(_DRAIN_INTERVAL))
         for task in reversed(held.tasks):
             await self._supervisor.stop_child(task)
+        self._released.remove(holder)
         await holder.group.close()
 
 
--- a/monsoonproxy/transactions.py
+++ b/monsoonproxy/transactions.py
@@ -44,6 +44,14 @@
         """
         return len(self._open)
 
+    def __contains__(self, key: object) -> bool:
+        """Tell whether a session has an open transaction.
+
+        :param key: Sender and session.
+        :returns: Whether it has.
+        """
+        return key in self._open
+
     def get(self, call: Call) -> Transaction | None:
         """Return the transaction of a request's session.
 
