Move the choice of backend servers and the ports of sites into modules of their own

Ruled out: nothing; behaviour is unchanged. Conclusion: choices.py asks the router for each waiting read; emulator/ports.py hands out ports.

--- a/emulator/cluster.py
+++ b/emulator/cluster.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import contextlib
-import itertools
 import os
 import pathlib
 import signal
-import socket
 import sys
 import tempfile
 from collections.abc import AsyncIterator
@@ -15,6 +13,7 @@
 import aiohttp
 import attrs
 
+from emulator.ports import HOST, free_port, wait_port
 from monsoonproxy import configuration, keys
 from monsoonproxy.clock import Clock
 from monsoonproxy.platforms import HttpPlatform
@@ -24,12 +23,6 @@
 _POLL_PAUSE = 0.05
 #: A process that was stopped by a signal accepts connections, but is silent.
 _STATUS_TIMEOUT = aiohttp.ClientTimeout(total=1)
-_HOST = '127.0.0.1'
-_FIRST_PORT = 10_000
-_BLOCKS = 200
-_BLOCK_SIZE = 100
-_block = _FIRST_PORT + os.getpid() % _BLOCKS * _BLOCK_SIZE
-_ports = itertools.cycle(range(_block, _block + _BLOCK_SIZE))
 
 
 @attrs.frozen
@@ -140,7 +133,7 @@
             service: self._group(service) for service in site.services
         }
         self._peers = [
-            f'{_HOST}:{free_port()}' for _number in range(site.daemons)
+            f'{HOST}:{free_port()}' for _number in range(site.daemons)
         ]
         self.daemons: list[Process] = [
             self._daemon(number) for number in range(site.daemons)
@@ -298,7 +291,7 @@
         arguments = _emulator('platform', '--port', str(port))
         return Process(
             'platform',
-            f'{_HOST}:{port}',
+            f'{HOST}:{port}',
             arguments,
             self.directory / 'platform.log',
         )
@@ -310,7 +303,7 @@
             name = f'{service}-{number}'
             port, control = free_port(), free_port()
             role = ('--source', first) if first else ('--primary',)
-            first = first or f'{_HOST}:{port}'
+            first = first or f'{HOST}:{port}'
             arguments = _emulator(
                 'database',
                 f'--name={name}',
@@ -324,10 +317,10 @@
             )
             group[name] = Process(
                 name,
-                f'{_HOST}:{port}',
+                f'{HOST}:{port}',
                 arguments,
                 self.directory / f'{name}.log',
-                f'{_HOST}:{control}',
+                f'{HOST}:{control}',
             )
         return group
 
@@ -345,7 +338,7 @@
                 (
                     f"peer_address = '{peer}'",
                     f'seed_peers = {self._peers}',
-                    f"listen_address = '{_HOST}:{port}'",
+                    f"listen_address = '{HOST}:{port}'",
                     f"availability_zone = '{self._zone(number)}'",
                     f"platform_url = 'http://{self.platform.address}'",
                     f"key_file = '{self.directory}/keys.toml'",
@@ -355,7 +348,7 @@
         program = str(pathlib.Path(sys.executable).parent / 'monsoonproxyd')
         return Process(
             name,
-            f'{_HOST}:{port}',
+            f'{HOST}:{port}',
             (program, str(settings)),
             self.directory / f'{name}.log',
             peer,
@@ -380,39 +373,6 @@
         await cluster.close()
 
 
-async def wait_port(address: str) -> None:
-    """Wait until a port accepts connections.
-
-    :param address: ``ip:port``.
-    """
-    host, port = address.split(':')
-    async with asyncio.timeout(_START_TIMEOUT):
-        while True:
-            try:
-                _reader, writer = await asyncio.open_connection(host, int(port))
-            except OSError:
-                await asyncio.sleep(_POLL_PAUSE)
-                continue
-            writer.close()
-            return
-
-
-def free_port() -> int:
-    """Return a port that is free now and stays free.
-
-    Ports below the system's ephemeral range are not taken by outgoing
-    connections before the process that is to listen has started. Each process
-    has a block of its own, so that sites that start at once do not meet.
-
-    :returns: The port.
-    """
-    while True:
-        port = next(_ports)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((_HOST, port))
-            return port
-
-
 def _peer_address(daemon: Process) -> str:
     return daemon.control
 
--- /dev/null
+++ b/monsoonproxy/choices.py
@@ -0,0 +1,94 @@
+"""Chooses the backend server of each waiting request of a holder."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+from msgspec.structs import replace
+
+from monsoonproxy import queues
+from monsoonproxy.calls import Call
+from monsoonproxy.clock import Clock, Millis, seconds
+from monsoonproxy.groups import Group
+from monsoonproxy.models import StatementKind
+from monsoonproxy.routing import Load, ReadRequest, Route, WaitFor
+
+
+class Choices:
+    """Asks the router for each read, and remembers the routes.
+
+    :param group: The group.
+    :param waiting: Waiting requests by number.
+    :param wake: Called when a request may be asked for again.
+    :param clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        group: Group,
+        waiting: Mapping[int, Call],
+        wake: Callable[[], None],
+        clock: Clock,
+    ) -> None:
+        self._group = group
+        self._waiting = waiting
+        self._wake = wake
+        self._clock = clock
+        #: Routes of reads that are running, by number of the request.
+        self.routes: dict[int, Route] = {}
+
+    def choose(
+        self, ticket: queues.Ticket, loads: Mapping[str, Load]
+    ) -> str | None:
+        """Choose the backend server of a request.
+
+        :param ticket: The request.
+        :param loads: Load of each backend server.
+        :returns: Its name, or ``None`` if the request can't start now.
+        """
+        now = self._clock.now()
+        view = self._group.view
+        if not ticket.replica:
+            if ticket.kind is StatementKind.READ and view.primary:
+                route = self._group.router.primary_route()
+                if route is None:
+                    return None
+                self.routes[ticket.number] = route
+            return view.primary
+        call = self._waiting[ticket.number]
+        req = ReadRequest(call.req.max_age or 0, call.floor, call.deadline)
+        if call.floor is None and call.req.max_age:
+            # Without a floor the primary's position at arrival applies.
+            return self._choose_unfloored(ticket, call, loads, now)
+        return self._take(ticket, req, loads, now)
+
+    def _choose_unfloored(
+        self,
+        ticket: queues.Ticket,
+        call: Call,
+        loads: Mapping[str, Load],
+        now: Millis,
+    ) -> str | None:
+        floor = self._group.position_since(call.arrived)
+        if floor is None:
+            self._group.ask(call.arrived)
+            return None
+        call.req = replace(call.req, floor=(floor.term, floor.offset))
+        req = ReadRequest(call.req.max_age or 0, floor, call.deadline)
+        return self._take(ticket, req, loads, now)
+
+    def _take(
+        self,
+        ticket: queues.Ticket,
+        req: ReadRequest,
+        loads: Mapping[str, Load],
+        now: Millis,
+    ) -> str | None:
+        choice = self._group.router.choose_read(req, loads, now)
+        if isinstance(choice, Route):
+            self.routes[ticket.number] = choice
+            return choice.server
+        if isinstance(choice, WaitFor):
+            delay = seconds(max(1, choice.until - now))
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, self._wake)
+        return None
--- a/monsoonproxy/holders.py
+++ b/monsoonproxy/holders.py
@@ -7,13 +7,13 @@
 from collections.abc import Awaitable, Mapping
 
 import attrs
-from msgspec.structs import replace
 
 from monsoonproxy import admission, messages, queues, records, retries
 from monsoonproxy.attempts import NOT_HELD
 from monsoonproxy.backends import Backend
 from monsoonproxy.calls import Call, Send
-from monsoonproxy.clock import Clock, Millis, seconds
+from monsoonproxy.choices import Choices
+from monsoonproxy.clock import Clock, seconds
 from monsoonproxy.declarations import Service
 from monsoonproxy.exceptions import (
     BackendError,
@@ -26,7 +26,6 @@
 from monsoonproxy.logs import log_for
 from monsoonproxy.models import StatementKind
 from monsoonproxy.recorded import RecordedWrites
-from monsoonproxy.routing import Load, ReadRequest, Route, WaitFor
 from monsoonproxy.transactions import Transactions
 
 _log = log_for('holder')
@@ -46,7 +45,6 @@
 
     calls: dict[tuple[bytes, int], Call] = attrs.Factory(dict)
     tasks: dict[int, asyncio.Task[None]] = attrs.Factory(dict)
-    routes: dict[int, Route] = attrs.Factory(dict)
 
 
 class Holder:
@@ -76,6 +74,9 @@
         self._waiting: dict[int, Call] = {}
         self._tickets: dict[int, queues.Ticket] = {}
         self._running = _Running()
+        self._choices = Choices(
+            group, self._waiting, self._schedule_pump, clock
+        )
         self._pump_due = False
         self._released = False
         self.reads: dict[str, int] = {}
@@ -260,7 +261,7 @@
     def _pump(self) -> None:
         self._pump_due = False
         now = self._clock.now()
-        for start in self._admission.next_ready(now, self._choose):
+        for start in self._admission.next_ready(now, self._choices.choose):
             number = start.ticket.number
             call = self._waiting.pop(number)
             self._start(call, self._run(call, start.server), start.ticket)
@@ -274,57 +275,6 @@
                 self._refuse(call, ejected.refusal)
         self._schedule_pump()
 
-    def _choose(
-        self, ticket: queues.Ticket, loads: Mapping[str, Load]
-    ) -> str | None:
-        now = self._clock.now()
-        view = self.group.view
-        if not ticket.replica:
-            if ticket.kind is StatementKind.READ and view.primary:
-                route = self.group.router.primary_route()
-                if route is None:
-                    return None
-                self._running.routes[ticket.number] = route
-            return view.primary
-        call = self._waiting[ticket.number]
-        req = ReadRequest(call.req.max_age or 0, call.floor, call.deadline)
-        if call.floor is None and call.req.max_age:
-            # Without a floor the primary's position at arrival applies.
-            return self._choose_unfloored(ticket, call, loads, now)
-        return self._take(ticket, req, loads, now)
-
-    def _choose_unfloored(
-        self,
-        ticket: queues.Ticket,
-        call: Call,
-        loads: Mapping[str, Load],
-        now: Millis,
-    ) -> str | None:
-        floor = self.group.position_since(call.arrived)
-        if floor is None:
-            self.group.ask(call.arrived)
-            return None
-        call.req = replace(call.req, floor=(floor.term, floor.offset))
-        req = ReadRequest(call.req.max_age or 0, floor, call.deadline)
-        return self._take(ticket, req, loads, now)
-
-    def _take(
-        self,
-        ticket: queues.Ticket,
-        req: ReadRequest,
-        loads: Mapping[str, Load],
-        now: Millis,
-    ) -> str | None:
-        choice = self.group.router.choose_read(req, loads, now)
-        if isinstance(choice, Route):
-            self._running.routes[ticket.number] = choice
-            return choice.server
-        if isinstance(choice, WaitFor):
-            delay = seconds(max(1, choice.until - now))
-            loop = asyncio.get_running_loop()
-            loop.call_later(delay, self._schedule_pump)
-        return None
-
     def _start(
         self,
         call: Call,
@@ -356,7 +306,7 @@
         self, call: Call, ticket: queues.Ticket | None, *, done: bool
     ) -> None:
         self._running.tasks.pop(call.number, None)
-        self._running.routes.pop(call.number, None)
+        self._choices.routes.pop(call.number, None)
         if call.number not in self._waiting:
             key = (call.sender, call.req.request)
             self._running.calls.pop(key, None)
@@ -386,7 +336,7 @@
 
     async def _run_kind(self, call: Call, server: str) -> None:
         if call.kind is StatementKind.READ:
-            route = self._running.routes[call.number]
+            route = self._choices.routes[call.number]
             key = 'primary: ' if server == self.group.view.primary else ''
             reason = key + route.reason.value
             self.reads[reason] = self.reads.get(reason, 0) + 1
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -9,7 +9,8 @@
 from asyncmy.errors import MySQLError
 
 from emulator import demo
-from emulator.cluster import Cluster, Process, Site, running, wait_port
+from emulator.cluster import Cluster, Process, Site, running
+from emulator.ports import wait_port
 from monsoonproxy import cli, inquiries
 from tests.fixtures import fixture, load_functions
 
