Log the entry side under its own prefix; show roles by their values

Cause: the entry side logged under 'main' with its name in the text, and status printed 'Role.PRIMARY'.

--- a/monsoonproxy/answers.py
+++ b/monsoonproxy/answers.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from loguru import logger
 
 from monsoonproxy import binaries, messages, packets, statements
+from monsoonproxy.logs import log_for
 from monsoonproxy.models import StatementKind
 
 if TYPE_CHECKING:
@@ -15,6 +15,8 @@
 
 Encoders = Callable[[list[messages.Column]], binaries.Encoder]
 
+_log = log_for('entry')
+
 _ENDS = frozenset((StatementKind.COMMIT, StatementKind.ROLLBACK))
 _LAST = (
     messages.ResultEnd,
@@ -166,7 +168,7 @@
                 break
             yield reply
     except Exception:
-        logger.exception('entry: the executor failed')
+        _log.exception('The executor failed')
     finally:
         await _release(conn, replies, ended=last is not None)
     yield last or _BROKEN_OFF
--- a/monsoonproxy/connections.py
+++ b/monsoonproxy/connections.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any
 
-from loguru import logger
 
 from monsoonproxy import commands, packets
 from monsoonproxy.callers import Caller
@@ -15,11 +14,14 @@
     StatementError,
     TokenError,
 )
+from monsoonproxy.logs import log_for
 from monsoonproxy.streams import ConnectionGoneError, PacketError
 
 if TYPE_CHECKING:
     from monsoonproxy.frontends import Frontend
 
+_log = log_for('entry')
+
 _Work = Callable[[], Coroutine[Any, Any, None]]
 
 _LEAVING = packets.error(
@@ -109,7 +111,7 @@
                 self.fail(exc.code, '08S01', str(exc))
             self.stream.close()
         except Exception:
-            logger.exception('entry: a connection failed')
+            _log.exception('A connection failed')
             self.stream.close()
         finally:
             self._task = None  # type: ignore[assignment]
@@ -166,7 +168,7 @@
         except MonsoonError as exc:
             self._refuse(exc)
         except Exception:
-            logger.exception('entry: a command failed')
+            _log.exception('A command failed')
             self.fail(1105, 'HY000', 'internal error of the proxy')
         await self.stream.drain()
 
--- a/monsoonproxy/holders.py
+++ b/monsoonproxy/holders.py
@@ -24,7 +24,7 @@
 from monsoonproxy.executions import RETRY_AFTER, Executor, StaleAnswerError
 from monsoonproxy.groups import Group
 from monsoonproxy.logs import log_for
-from monsoonproxy.models import StatementKind
+from monsoonproxy.models import BackendReport, StatementKind
 from monsoonproxy.recorded import RecordedWrites
 from monsoonproxy.transactions import Transactions
 
@@ -216,7 +216,7 @@
             report = view.report(name)
             members[name] = {
                 'age_ms': self.group.router.age(name, now),
-                'report': attrs.asdict(report) if report else None,
+                'report': _plain(report) if report else None,
             }
         return {
             'service': self.service.name,
@@ -380,3 +380,8 @@
     return admission.AdmissionRules(
         weights=weights, queue_limit=service.queue_limit
     )
+
+
+def _plain(report: BackendReport) -> dict[str, object]:
+    """Return a report as plain data for JSON."""
+    return {**attrs.asdict(report), 'role': report.role.value}
