Hand idle connections to waiting statements again after a cancellation

Cause: a statement that was given up just after a connection was handed to it left that connection idle while others waited. Ruled out: passing it on in the cancelled statement, which may not run again.

--- a/monsoonproxy/backends.py
+++ b/monsoonproxy/backends.py
@@ -176,6 +176,8 @@
         """Open and close connections as the pool demands, until cancelled."""
         while True:
             self._run(self._pool.tick(len(self._waiting), self._clock.now()))
+            # A waiter that was cancelled may have left its connection idle.
+            self._hand_out()
             pause = _POOL_INTERVAL
             if self._waiting:
                 pause = _POOL_INTERVAL_WAITING
