--- a/monsoonproxy/databases.py
+++ b/monsoonproxy/databases.py
@@ -1,8 +1,6 @@
 """Database adapter for the group protocol, over ``asyncmy``."""
 
 import asyncio
-import functools
-import json
 import re
 import ssl as tls
 import struct
@@ -13,7 +11,7 @@
 from asyncmy import errors
 from asyncmy.connection import Connection
 
-from monsoonproxy import adapters, messages
+from monsoonproxy import adapters, messages, statuses
 from monsoonproxy.clock import Millis, seconds
 from monsoonproxy.exceptions import (
     BackendError,
@@ -22,7 +20,7 @@
     TermChangedError,
     TooManyConnectionsError,
 )
-from monsoonproxy.models import BackendReport, Position, Role
+from monsoonproxy.models import BackendReport, Position
 
 _COM_RESET_CONNECTION = 31
 _IN_TRANSACTION = 1
@@ -274,7 +272,7 @@
         names = [column.name for column in answer.columns]
         rows = [row async for batch in answer.rows for row in batch]
         try:
-            return _parsed_report(dict(zip(names, rows[0], strict=True)))
+            return statuses.parse(dict(zip(names, rows[0], strict=True)))
         except (LookupError, ValueError, TypeError) as exc:
             raise BackendError(
                 0, 'HY000', f'malformed status row: {rows!r}'
@@ -375,28 +373,6 @@
     )
 
 
-def _parsed_report(row: Mapping[str, bytes | None]) -> BackendReport:
-    cells = {name: (cell or b'').decode() for name, cell in row.items()}
-    return BackendReport(
-        name=cells['name'],
-        role=Role(cells['role']),
-        promised_term=int(cells['promised_term']),
-        candidate=cells['candidate'],
-        log_term=int(cells['log_term']),
-        received=int(cells['received']),
-        applied=int(cells['applied']),
-        source_silence=Millis(int(cells['source_silence_ms'])),
-        leaving=cells['leaving'] == '1',
-        term_starts=_term_starts(cells['term_starts']),
-    )
-
-
-@functools.lru_cache(maxsize=64)
-def _term_starts(text: str) -> tuple[tuple[int, int], ...]:
-    """Parse the term starts, which change with the term only."""
-    return tuple((term, offset) for term, offset in json.loads(text))
-
-
 def _quoted(text: str) -> str:
     escaped = text.replace('\\', r'\\').replace("'", r'\'')
     return f"'{escaped}'"
