Back off between attempts of a holder; forget requests refused on a retry

Cause: a request that was offered again at once spent the retry budget within a few ms of a broken connection, and one that was refused on that offer stayed in the table of waiting requests, which would hold up a drain of the holder. Ruled out: a fixed delay; the decision module has an exponential one with jitter, which nothing used. Figures: tests/test_site.py, test_shutdown_after_failover: 8 callers, primary killed, three daemons end without a request in flight. It was not run without the change.

--- a/monsoonproxy/holders.py
+++ b/monsoonproxy/holders.py
@@ -71,6 +71,7 @@
         self._admission = admission.Admission(_admission_rules(service), rng)
         budget = retries.RetryRules(ratio=service.retry_budget)
         self._budget = retries.RetryBudget(budget, clock.now())
+        self._backoff = retries.Backoff(budget, rng)
         self._waiting: dict[int, Call] = {}
         self._tickets: dict[int, queues.Ticket] = {}
         self._running = _Running()
@@ -242,12 +243,18 @@
         )
         verdict = self._admission.offer(ticket, now)
         if isinstance(verdict, admission.Refused):
+            self._waiting.pop(call.number, None)
             self._refuse(call, verdict)
             return
         self._waiting[call.number] = call
         self._tickets[call.number] = ticket
         self._schedule_pump()
 
+    def _offer_again(self, call: Call) -> None:
+        # The caller may have gone, or the service been released meanwhile.
+        if self._waiting.get(call.number) is call:
+            self._offer(call)
+
     def _refuse(self, call: Call, refusal: admission.Refused) -> None:
         self._start(
             call, call.refuse(refusal.reason.value, refusal.retry_after)
@@ -358,8 +365,11 @@
         elif self._released:
             await call.refuse(NOT_HELD, RETRY_AFTER)
         elif now < call.deadline and self._budget.take(now):
-            asyncio.get_running_loop().call_soon(self._offer, call)
             self._waiting[call.number] = call
+            call.tries += 1
+            delay = seconds(self._backoff.delay(call.tries))
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, self._offer_again, call)
         else:
             await call.refuse(reason, RETRY_AFTER)
 
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import tempfile
+import time
 from collections.abc import AsyncIterator
 
 import asyncmy
@@ -126,3 +127,20 @@
             if status['configuration_version'] == 2:
                 break
             await asyncio.sleep(0.1)
+
+
+async def test_shutdown_after_failover(site: Cluster) -> None:
+    """Guards against requests that a holder keeps after their answers."""
+    until = time.monotonic() + 4
+    tally = demo.Tally()
+    async with asyncio.TaskGroup() as tasks:
+        for number in range(1, 9):
+            caller = demo.Caller(number, site.daemons, tally)
+            tasks.create_task(caller.run(until))
+        await asyncio.sleep(1)
+        primary = await site.primary(_SERVICE)
+        await primary.kill()
+    assert tally.acknowledged
+    for daemon in site.daemons:
+        assert await daemon.stop() == 0
+        assert 'requests in flight' not in daemon.log.read_text()
