Remove two methods that nothing calls

Cause: a look for names that occur once found Samples.covering and Pool.resume. Ruled out: names that libraries call. Figures: 0 callers each. Conclusion: removed.

--- a/monsoonproxy/pools.py
+++ b/monsoonproxy/pools.py
@@ -219,10 +219,6 @@
         self._stop_reason = reason
         return self._close(list(self._idle), reason)
 
-    def resume(self) -> None:
-        """Use the pool again, after :meth:`stop`."""
-        self._active = True
-
     def tick(self, waiting: int, now: Millis) -> list[Command]:
         """Decide what to open and close; to be called every few ms.
 
--- a/monsoonproxy/samples.py
+++ b/monsoonproxy/samples.py
@@ -78,16 +78,6 @@
             return None
         return Millis(self._times[index])
 
-    def covering(self, sent_at: int) -> int | None:
-        """Return the offset that makes data complete up to a time.
-
-        :param sent_at: A time.
-        :returns: The offset of the first sample at or after that time, or
-            ``None`` if there is none yet.
-        """
-        index = bisect.bisect_left(self._times, sent_at)
-        return self._offsets[index] if index < len(self._offsets) else None
-
     def _thin(self) -> None:
         """Free a quarter of the space at least, so that this stays rare."""
         resolution = self._resolution
