Build one poll instead of two; drop state that nothing reads

Cause: a read of the whole change found that each poll of a replica also made a status call that was never awaited, that the choice of a server built its request twice, and that a transaction kept a term that nothing read. Conclusion: behaviour is unchanged.

--- a/monsoonproxy/backends.py
+++ b/monsoonproxy/backends.py
@@ -315,12 +315,7 @@
                 poll = self._next_poll(report.role)
                 await asyncio.sleep(seconds(max(poll.pause, _POLL_PAUSE)))
                 sent_at = self._clock.now()
-                call = conn.status()
-                if poll.timeout:
-                    call = conn.wait_change(
-                        report.received, report.applied, poll.timeout
-                    )
-                report = await self._in_time(call)
+                report = await self._in_time(_send_poll(conn, report, poll))
         finally:
             await conn.close()
 
@@ -356,3 +351,11 @@
 
 def _always_idle(_name: str, _now: Millis) -> Poll:
     return _IDLE_REPLICA
+
+
+def _send_poll(
+    conn: BackendConnection, last: BackendReport, poll: Poll
+) -> Awaitable[BackendReport]:
+    if poll.timeout:
+        return conn.wait_change(last.received, last.applied, poll.timeout)
+    return conn.status()
--- a/monsoonproxy/choices.py
+++ b/monsoonproxy/choices.py
@@ -55,26 +55,21 @@
                 self.routes[ticket.number] = route
             return view.primary
         call = self._waiting[ticket.number]
+        if call.req.max_age and not self._has_floor(call):
+            return None
         req = ReadRequest(call.req.max_age or 0, call.floor, call.deadline)
-        if call.floor is None and call.req.max_age:
-            # Without a floor the primary's position at arrival applies.
-            return self._choose_unfloored(ticket, call, loads, now)
         return self._take(ticket, req, loads, now)
 
-    def _choose_unfloored(
-        self,
-        ticket: queues.Ticket,
-        call: Call,
-        loads: Mapping[str, Load],
-        now: Millis,
-    ) -> str | None:
+    def _has_floor(self, call: Call) -> bool:
+        """Give a request without a floor the primary's position at arrival."""
+        if call.floor is not None:
+            return True
         floor = self._group.position_since(call.arrived)
         if floor is None:
             self._group.ask(call.arrived)
-            return None
+            return False
         call.req = replace(call.req, floor=(floor.term, floor.offset))
-        req = ReadRequest(call.req.max_age or 0, floor, call.deadline)
-        return self._take(ticket, req, loads, now)
+        return True
 
     def _take(
         self,
--- a/monsoonproxy/executions.py
+++ b/monsoonproxy/executions.py
@@ -43,13 +43,11 @@
     """A caller's open transaction.
 
     :param server: Name of the primary it runs on.
-    :param term: Term in which it was opened.
     :param lease: Its connection.
     :param busy: Whether a statement of it is running.
     """
 
     server: str
-    term: int
     lease: Lease
     busy: bool = False
 
--- a/monsoonproxy/transactions.py
+++ b/monsoonproxy/transactions.py
@@ -100,8 +100,7 @@
         except BaseException:
             backend.release(lease)
             raise
-        term = self._group.view.term
-        self._open[call.key] = Transaction(server, term, lease)
+        self._open[call.key] = Transaction(server, lease)
         await call.end(server, 'transaction', in_transaction=True)
 
     async def run(self, call: Call, tx: Transaction) -> None:
