Stay cancelled when a connection is refused at the same time

Cause: asyncio.wait_for of Python 3.11 returns or raises the result of its inner future if that is done when the cancellation arrives. A poll of a killed primary that was refused in the turn of the loop in which it was cancelled took the refusal for its result and went on polling for ever, so the shutdown waited for its task to its limit of 30 s. A dump of all tasks of three daemons that hung showed exactly the polls and probes of the killed primary, marked as cancelling and asleep between two tries. Ruled out: requests left in a holder (none were), callers' connections (none were), the client library alone (it has the same race, and the check covers it too).

--- a/monsoonproxy/databases.py
+++ b/monsoonproxy/databases.py
@@ -338,10 +338,31 @@
             ) from late
         except _LIBRARY_ERRORS as exc:
             wire.close()
+            _stay_cancelled()
             raise _convert(exc, sent=False) from exc
+        if _is_cancelled():
+            wire.close()
+        _stay_cancelled()
         return GroupConnection(wire)
 
 
+def _is_cancelled() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
+def _stay_cancelled() -> None:
+    """Raise the cancellation that ``asyncio.wait_for`` may have dropped.
+
+    In Python 3.11 it returns the result of its inner future, or raises its
+    error, if that is done when the cancellation arrives.
+
+    :raises asyncio.CancelledError: If the current task is cancelled.
+    """
+    if _is_cancelled():
+        raise asyncio.CancelledError
+
+
 def _convert(exc: Exception, *, sent: bool) -> MonsoonError:
     code = exc.args[0] if exc.args else 0
     text = str(exc.args[1]) if len(exc.args) > 1 else str(exc)
--- a/tests/test_databases.py
+++ b/tests/test_databases.py
@@ -4,8 +4,10 @@
 import socket
 
 from emulator.database import Database
+from emulator.ports import free_port
 from monsoonproxy import adapters
 from monsoonproxy.clock import Millis
+from monsoonproxy.databases import GroupAdapter
 from monsoonproxy.exceptions import (
     BackendError,
     ConnectionLostError,
@@ -204,3 +206,26 @@
     await connection.query(b'SELECT 1')
     await raised(connection.reset(), ConnectionLostError)
     await raised(connection.query(b'SELECT 2'), ConnectionLostError)
+
+
+async def test_cancelled_while_refused() -> None:
+    """Guards against a task that goes on after it was cancelled.
+
+    A connection that is refused in the same turn of the loop in which it is
+    cancelled used to raise its own error, and a daemon's shutdown then
+    waited for a poll that never ended.
+    """
+    adapter = GroupAdapter()
+    address = f'127.0.0.1:{free_port()}'
+    for number in range(600):
+        connecting = asyncio.create_task(
+            adapter.connect(
+                address, user='x', password='', timeout=Millis(1_000)
+            )
+        )
+        await asyncio.sleep(number % 60 * 0.000_02)
+        if connecting.cancel():
+            await asyncio.wait((connecting,))
+            assert connecting.cancelled(), connecting
+        else:
+            connecting.exception()
