--- a/monsoonproxy/clock.py
+++ b/monsoonproxy/clock.py
@@ -15,11 +15,14 @@
     """
 
     def now(self) -> Millis:
-        """Return the monotonic time.
+        """Return the monotonic time, including time spent suspended.
+
+        A suspended host would otherwise take old data for fresh.
 
         :returns: Milliseconds since an arbitrary start.
         """
-        return Millis(time.monotonic_ns() // _NANOS_PER_MILLI)
+        nanos = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+        return Millis(nanos // _NANOS_PER_MILLI)
 
     def wall(self) -> Millis:
         """Return the wall-clock time, for reports and expiry dates only.
--- /dev/null
+++ b/monsoonproxy/clusters.py
@@ -0,0 +1,409 @@
+"""The backend servers of one service, as one daemon uses them."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from monsoonproxy import floors, pools, selection
+from monsoonproxy.clock import Clock, Millis, seconds
+from monsoonproxy.dialects import Dialect
+from monsoonproxy.exceptions import ConnectionLostError
+from monsoonproxy.lanes import Lane, LaneFullError, ServerGoneError
+from monsoonproxy.leadership import Leadership
+from monsoonproxy.logs import log_for
+from monsoonproxy.models import Position, Role
+from monsoonproxy.queries import OWN_ID, Answer, Code, TransactionState
+from monsoonproxy.routes import ServiceRules
+from monsoonproxy.servers import Server
+from monsoonproxy.wires import ServerWire
+
+_log = log_for('cluster')
+
+#: Longest time in ms for the answer to a statement that needs no slot.
+PROBE_TIMEOUT = Millis(300)
+#: Pause in ms between two looks for a leader.
+_SEARCH_PAUSE = Millis(50)
+#: Idle connections beyond the first are closed after this time in ms.
+_IDLE_CONNECTION = Millis(3_000)
+#: Longest pause in ms between attempts to open a connection.
+_OPEN_BACKOFF = Millis(500)
+
+
+class NotLeadingError(Exception):
+    """A backend server refused a transaction since it does not lead."""
+
+
+@attrs.define
+class Member:
+    """A backend server with its connections and what is known about it."""
+
+    server: Server
+    lane: Lane
+    record: selection.Record = attrs.Factory(selection.Record)
+    running: int = 0
+
+
+@attrs.define
+class Lease:
+    """A connection in use.
+
+    :param member: The backend server.
+    :param number: Number of the connection in its lane.
+    :param wire: The connection.
+    :param clean: Whether it may be used again.
+    """
+
+    member: Member
+    number: int
+    wire: ServerWire
+    clean: bool = False
+
+
+class Cluster:
+    """Connections, positions and leader of one service.
+
+    :param rules: Declaration of the service.
+    :param dialect: Protocol of its backend servers.
+    :param zone: Availability zone of the daemon.
+    :param clock: Source of time.
+    """
+
+    def __init__(
+        self, rules: ServiceRules, dialect: Dialect, zone: str, clock: Clock
+    ) -> None:
+        self.rules = rules
+        self.dialect = dialect
+        self.clock = clock
+        self.floors = floors.Floors()
+        self.leadership = Leadership()
+        self.members: dict[str, Member] = {}
+        #: Number of daemons that share the connections.
+        self.daemons = 1
+        #: Is told when the leader may have failed.
+        self.on_doubt: Callable[[str], None] = _ignore
+        self._zone = zone
+        self._changed = asyncio.Event()
+        self._search: asyncio.Task[None] | None = None
+        self._sampling: asyncio.Task[bool] | None = None
+
+    @property
+    def leader(self) -> Member | None:
+        """Return the backend server to send writes to.
+
+        :returns: The leader, if one is known or likely.
+        """
+        believed = self.leadership.believed()
+        return self.members.get(believed) if believed else None
+
+    def put(self, server: Server) -> None:
+        """Add a backend server, or take in what it says of itself now.
+
+        :param server: Its entry.
+        """
+        now = self.clock.now()
+        member = self.members.get(server.server_id)
+        if member is not None and (
+            member.server.address != server.address
+            or member.server.born != server.born
+        ):
+            self.remove(server.server_id)
+            member = None
+        if member is None:
+            lane = Lane(server, self.dialect, self._pool_rules(), self.clock)
+            self.members[server.server_id] = Member(server, lane)
+            lane.warm_up()
+            was_primary = False
+        else:
+            was_primary = member.server.role is Role.PRIMARY
+            member.server = server
+        if server.role is Role.PRIMARY and not was_primary:
+            self.leadership.said(server.server_id, now)
+        elif server.role is Role.REPLICA:
+            self.leadership.unsaid(server.server_id)
+        self._notify()
+
+    def remove(self, server_id: str) -> None:
+        """Stop using a backend server.
+
+        :param server_id: Its identity.
+        """
+        member = self.members.pop(server_id, None)
+        if member is not None:
+            member.lane.close()
+            self.leadership.gone(server_id)
+            self._notify()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for member in self.members.values():
+            member.lane.abort()
+
+    def options(self) -> Iterator[selection.Option]:
+        """Yield the backend servers that a read may go to.
+
+        :yields: Options.
+        """
+        leader = self.leader
+        for name, member in self.members.items():
+            yield selection.Option(
+                name,
+                member.record,
+                member.running,
+                member.server.slots,
+                is_near=member.server.availability_zone == self._zone,
+                is_leader=member is leader,
+                is_leaving=member.server.leaving,
+                is_reachable=bool(len(member.lane)),
+            )
+
+    @contextlib.asynccontextmanager
+    async def leased(self, member: Member, limit: float):
+        """Lease a connection for one statement.
+
+        The connection is closed unless the body marks the lease as clean.
+
+        :param member: The backend server.
+        :param limit: Longest wait in ms.
+        :yields: The lease.
+        """
+        lease = await self.acquire(member, limit)
+        try:
+            yield lease
+        finally:
+            self.release(lease)
+
+    async def acquire(self, member: Member, limit: float) -> Lease:
+        """Lease a connection.
+
+        :param member: The backend server.
+        :param limit: Longest wait in ms.
+        :returns: The lease.
+        :raises ServerGoneError: If the address belongs to another one now.
+        """
+        try:
+            number, wire = await member.lane.acquire(limit)
+        except ServerGoneError:
+            self._drop(member)
+            raise
+        except ConnectionLostError:
+            self.doubt(member)
+            raise
+        member.running += 1
+        return Lease(member, number, wire)
+
+    def release(self, lease: Lease) -> None:
+        """Return a connection.
+
+        :param lease: The lease.
+        """
+        lease.member.running -= 1
+        if lease.clean:
+            lease.member.lane.release(lease.number, clean=True)
+        else:
+            lease.member.lane.forget(lease.number)
+
+    async def begin(self, lease: Lease, limit: float) -> Answer:
+        """Begin a plain transaction, which only a leader accepts.
+
+        :param lease: A connection.
+        :param limit: Longest wait in ms.
+        :returns: The answer.
+        :raises NotLeadingError: If the backend server does not lead.
+        """
+        text = self.dialect.begin(read_only=False)
+        answer = await self.own_statement(lease, text, limit)
+        if answer.code is Code.READ_ONLY:
+            lease.clean = True
+            self.not_leading(lease.member)
+            raise NotLeadingError
+        if answer.succeeded:
+            self.led(lease, answer)
+        return answer
+
+    async def own_statement(
+        self,
+        lease: Lease,
+        text: bytes,
+        limit: float,
+        floor: Position | None = None,
+    ) -> Answer:
+        """Run a statement of the daemon itself.
+
+        :param lease: A connection.
+        :param text: The statement.
+        :param limit: Longest wait in ms.
+        :param floor: Position that the log must have.
+        :returns: The answer.
+        """
+        payload = self.dialect.query(OWN_ID, text, floor)
+        answers = await self.exchange(lease, payload, 1, limit)
+        return answers[0]
+
+    async def exchange(
+        self, lease: Lease, payload: bytes, count: int, limit: float
+    ) -> list[Answer]:
+        """Send statements on a leased connection.
+
+        :param lease: The connection.
+        :param payload: The encoded statements.
+        :param count: How many there are.
+        :param limit: Longest wait in ms.
+        :returns: Their answers.
+        :raises ConnectionLostError: If they don't come.
+        """
+        try:
+            async with asyncio.timeout(seconds(max(1, int(limit)))):
+                answers = await lease.wire.exchange(payload, count)
+        except TimeoutError:
+            lease.wire.abort()
+            self.doubt(lease.member)
+            raise ConnectionLostError(
+                f'{lease.member.server.address}: no answer in time', sent=True
+            ) from None
+        except ConnectionLostError:
+            self.doubt(lease.member)
+            raise
+        for answer in answers:
+            lease.member.record.seen(answer.position)
+        return answers
+
+    def led(self, lease: Lease, answer: Answer) -> None:
+        """Take in an answer which proves that a backend server led.
+
+        :param lease: The connection.
+        :param answer: The answer.
+        """
+        if answer.position is None:
+            return
+        name = lease.member.server.server_id
+        self.floors.add(lease.wire.sent_at, answer.position)
+        if self.leadership.accepted(name, answer.position.term):
+            _log.info('{} leads in term {}', name, answer.position.term)
+            self._notify()
+
+    def not_leading(self, member: Member) -> None:
+        """Take in that a backend server refused a write.
+
+        :param member: The backend server.
+        """
+        name = member.server.server_id
+        if self.leadership.refused(name, self.clock.now()):
+            _log.info('{} does not lead any more', name)
+        self._notify()
+        self.search()
+
+    def doubt(self, member: Member) -> None:
+        """Take in that a backend server did not answer.
+
+        :param member: The backend server.
+        """
+        if member is self.leader:
+            self.on_doubt(member.server.server_id)
+
+    async def wait_leader(self, limit: float) -> Member | None:
+        """Wait until a leader is known or likely.
+
+        :param limit: Longest wait in ms.
+        :returns: The leader, or ``None`` if there is none in time.
+        """
+        deadline = self.clock.now() + limit
+        while self.leader is None and deadline > self.clock.now():
+            self.search()
+            await self.wait_change(deadline - self.clock.now())
+        return self.leader
+
+    async def wait_change(self, limit: float) -> None:
+        """Wait until a backend server or the leader changes.
+
+        :param limit: Longest wait in ms.
+        """
+        changed = self._changed
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds(max(1, int(limit)))):
+                await changed.wait()
+
+    async def probe(
+        self, member: Member, limit: float = PROBE_TIMEOUT
+    ) -> Answer | None:
+        """Ask a backend server whether it leads; this needs no slot.
+
+        :param member: The backend server.
+        :param limit: Longest wait in ms.
+        :returns: The answer, or ``None`` if it can't be reached.
+        """
+        try:
+            async with self.leased(member, limit) as lease:
+                answer = await self.begin(lease, limit)
+                text = self.dialect.rollback()
+                await self.own_statement(lease, text, limit)
+                lease.clean = True
+                return answer
+        except NotLeadingError:
+            return Answer(b'', TransactionState.IDLE, code=Code.READ_ONLY)
+        except (ConnectionLostError, LaneFullError, ServerGoneError):
+            return None
+
+    async def sample(self, limit: float) -> bool:
+        """Make a sample of the leader's position; callers share it.
+
+        :param limit: Longest wait in ms.
+        :returns: Whether there is a new sample.
+        """
+        if self._sampling is None or self._sampling.done():
+            self._sampling = asyncio.get_running_loop().create_task(
+                self._take_sample()
+            )
+        done, _pending = await asyncio.wait(
+            (self._sampling,), timeout=seconds(max(1, int(limit)))
+        )
+        return bool(done) and self._sampling.result()
+
+    async def _take_sample(self) -> bool:
+        member = self.leader
+        if member is None:
+            self.search()
+            return False
+        answer = await self.probe(member)
+        return answer is not None and answer.succeeded
+
+    def search(self) -> None:
+        """Look for the leader until one accepts a transaction."""
+        if self._search is None or self._search.done():
+            self._search = asyncio.get_running_loop().create_task(
+                self._find_leader()
+            )
+
+    async def _find_leader(self) -> None:
+        while self.leadership.leader is None and self.members:
+            believed = self.leader
+            members = [believed] if believed else list(self.members.values())
+            await asyncio.gather(*map(self.probe, members))
+            if self.leadership.leader is None:
+                await asyncio.sleep(seconds(_SEARCH_PAUSE))
+
+    def _pool_rules(self) -> pools.PoolRules:
+        limit = self.rules.connection_limit
+        return pools.PoolRules(
+            limit,
+            slots=1,
+            spare=0,
+            share=max(1, min(limit, 2 * limit // max(1, self.daemons))),
+            idle_timeout=_IDLE_CONNECTION,
+            max_backoff=_OPEN_BACKOFF,
+        )
+
+    def _drop(self, member: Member) -> None:
+        name = member.server.server_id
+        if self.members.get(name) is member:
+            self.remove(name)
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _ignore(_server_id: str) -> None:
+    """Do nothing; stands in until somebody watches the leader."""
+
--- a/monsoonproxy/exceptions.py
+++ b/monsoonproxy/exceptions.py
@@ -40,6 +40,22 @@
     """A conditional write was refused: the stored version differs."""
 
 
+class OverloadedError(PlatformError):
+    """The platform turned a call away; nothing was done."""
+
+
+class HistoryLostError(PlatformError):
+    """The platform no longer has the changes since a version."""
+
+
+class FencedError(PlatformError):
+    """The platform refused an order since a newer one was given."""
+
+
+class DialectError(MonsoonError):
+    """Bytes of a wire protocol can't be decoded."""
+
+
 class PeerError(MonsoonError):
     """Another daemon can't be reached."""
 
--- /dev/null
+++ b/monsoonproxy/floors.py
@@ -0,0 +1,83 @@
+"""Positions that reads must reflect, from the answers of a primary."""
+
+import collections
+
+import attrs
+
+from monsoonproxy.clock import Millis
+from monsoonproxy.models import Position
+
+#: Least spacing of samples in ms. A bound is rounded by at most this much
+#: towards fresher data.
+SPACING = Millis(20)
+#: Samples older than any bound in use are of no more use. 10 s is four times
+#: the greatest bound of the known deployments.
+HORIZON = Millis(10_000)
+
+
+@attrs.frozen
+class Sample:
+    """A position of the primary.
+
+    :param sent_at: All commits acknowledged before this time are in the log
+        at the position.
+    :param position: The position.
+    """
+
+    sent_at: Millis
+    position: Position
+
+
+class Floors:
+    """The samples of one service.
+
+    Only answers that prove that the backend server led while it answered may
+    be added.
+    """
+
+    def __init__(self) -> None:
+        self._samples: collections.deque[Sample] = collections.deque()
+
+    @property
+    def latest(self) -> Sample | None:
+        """Return the most recent sample.
+
+        :returns: The sample, if there is any.
+        """
+        return self._samples[-1] if self._samples else None
+
+    def add(self, sent_at: Millis, position: Position) -> None:
+        """Add a sample.
+
+        :param sent_at: When the statement was sent.
+        :param position: Position in its answer.
+        """
+        samples = self._samples
+        while samples and samples[0].sent_at < sent_at - HORIZON:
+            samples.popleft()
+        if samples and samples[-1].sent_at > sent_at:
+            return
+        if len(samples) > 1 and sent_at - samples[-2].sent_at < SPACING:
+            samples.pop()
+        samples.append(Sample(sent_at, position))
+
+    def required(self, max_age: Millis, now: Millis) -> Position | None:
+        """Return the lowest position that satisfies an age bound.
+
+        :param max_age: Greatest age of the data in ms.
+        :param now: The time.
+        :returns: The position, or ``None`` if no sample is recent enough.
+        """
+        for sample in self._samples:
+            if sample.sent_at >= now - max_age:
+                return sample.position
+        return None
+
+    def age(self, now: Millis) -> int | None:
+        """Return the age of the most recent sample.
+
+        :param now: The time.
+        :returns: The age in ms, or ``None`` if there is no sample.
+        """
+        latest = self.latest
+        return None if latest is None else now - latest.sent_at
--- a/monsoonproxy/logs.py
+++ b/monsoonproxy/logs.py
@@ -16,16 +16,22 @@
 )
 
 
-def configure(*, level: str = 'INFO', structured: bool = False) -> None:
+def configure(
+    *,
+    level: str = 'INFO',
+    structured: bool = False,
+    to_output: bool = False,
+) -> None:
     """Send logs to standard error.
 
     :param level: Lowest level that is written.
     :param structured: Write one JSON object per line.
+    :param to_output: Send them to standard output instead.
     """
     logger.remove()
     logger.configure(extra={'part': 'main'})
     logger.add(
-        sys.stderr,
+        sys.stdout if to_output else sys.stderr,
         level=level,
         format=_TEXT,
         serialize=structured,
--- a/monsoonproxy/pools.py
+++ b/monsoonproxy/pools.py
@@ -34,6 +34,8 @@
     :param backoff: First delay after a failed open; doubles each time.
     :param max_backoff: Longest delay after a failed open.
     :param regrow_interval: Time per connection regained after error 1040.
+    :param share: Greatest number of own connections, if it does not follow
+        from the number of holders.
     """
 
     connection_limit: int
@@ -47,13 +49,16 @@
     backoff: Millis = Millis(20)
     max_backoff: Millis = Millis(1000)
     regrow_interval: Millis = Millis(1000)
+    share: int | None = None
 
     @property
     def quota(self) -> int:
         """Return the share of one holder.
 
-        :returns: ``floor(connection_limit / (holders + 1))``.
+        :returns: The share, or ``floor(connection_limit / (holders + 1))``.
         """
+        if self.share is not None:
+            return self.share
         return self.connection_limit // (self.holders + 1)
 
 
@@ -143,6 +148,14 @@
         self._leased[connection] = transaction
         return connection
 
+    def is_leased(self, connection: int) -> bool:
+        """Tell whether a connection is leased.
+
+        :param connection: The connection.
+        :returns: Whether it is.
+        """
+        return connection in self._leased
+
     def release(
         self, connection: int, transaction: int, clean: bool, now: Millis
     ) -> list[Command]:
--- /dev/null
+++ b/monsoonproxy/stores.py
@@ -0,0 +1,120 @@
+"""Port to the store that a platform offers to daemons."""
+
+from typing import Protocol
+
+import attrs
+
+from monsoonproxy.clock import Millis
+from monsoonproxy.routes import RouteTable
+from monsoonproxy.servers import Server
+
+
+@attrs.frozen
+class Change:
+    """What the store says about one row.
+
+    :param key: Key of the row.
+    :param content: Its content; ``None`` if the row is gone.
+    :param version: Version of the row.
+    """
+
+    key: str
+    content: bytes | None
+    version: int
+
+
+@attrs.frozen
+class Changes:
+    """Rows of a table.
+
+    :param rows: The rows, or those that changed, in order.
+    :param version: Version up to which the table is known.
+    """
+
+    rows: tuple[Change, ...]
+    version: int
+
+
+class Store(Protocol):
+    """Rows in tables, with versions.
+
+    All methods raise :class:`~monsoonproxy.exceptions.PlatformError` on a
+    failure or timeout. A write that failed so may have taken effect, or may
+    still do so if its condition holds then.
+    """
+
+    async def read(self, table: str) -> Changes:
+        """Read a whole table.
+
+        :param table: Its name.
+        :returns: All rows.
+        """
+
+    async def follow(self, table: str, after: int, wait: Millis) -> Changes:
+        """Wait for changes of a table.
+
+        :param table: Its name.
+        :param after: Version up to which it is known.
+        :param wait: Longest wait in ms.
+        :returns: The changed rows, which may be none.
+        :raises HistoryLostError: If the changes since are not known any more.
+        """
+
+    async def write(
+        self, table: str, key: str, content: bytes, expected: int
+    ) -> Change:
+        """Write a row if its version is as expected.
+
+        :param table: Name of the table.
+        :param key: Key of the row.
+        :param content: New content.
+        :param expected: Version that the row must have; 0 for no row.
+        :returns: The row as it is now: the new one, or another one if the
+            condition did not hold.
+        """
+
+    async def put(self, table: str, key: str, content: bytes) -> None:
+        """Write a row without a condition.
+
+        :param table: Name of the table.
+        :param key: Key of the row.
+        :param content: New content.
+        """
+
+    async def promote(
+        self, service: str, server_id: str, holder: str, token: int
+    ) -> bool:
+        """Order the promotion of a backend server.
+
+        :param service: Name of the service.
+        :param server_id: Identity of the backend server.
+        :param holder: Name of the daemon that orders.
+        :param token: Its token, greater than all earlier ones.
+        :returns: Whether the order was accepted.
+        :raises FencedError: If a greater token was seen, or the backend
+            server is not running.
+        """
+
+    def close(self) -> None:
+        """Close all connections."""
+
+
+class Documents(Protocol):
+    """Decodes the documents that operators and backend servers write."""
+
+    def routes(self, content: bytes) -> RouteTable:
+        """Decode the operator's configuration.
+
+        :param content: The document.
+        :returns: The configuration.
+        :raises ConfigurationError: If it can't be decoded.
+        """
+
+    def server(self, server_id: str, content: bytes) -> Server:
+        """Decode what a backend server says of itself.
+
+        :param server_id: Its identity.
+        :param content: The document.
+        :returns: The entry.
+        :raises ConfigurationError: If it can't be decoded.
+        """
--- /dev/null
+++ b/monsoonproxy/wires.py
@@ -0,0 +1,234 @@
+"""Connections to backend servers that speak a dialect."""
+
+import asyncio
+import socket
+from typing import Any
+
+from monsoonproxy.clock import Clock, Millis, seconds
+from monsoonproxy.dialects import Dialect
+from monsoonproxy.exceptions import ConnectionLostError, DialectError
+from monsoonproxy.queries import OWN_ID, Answer
+from monsoonproxy.servers import Server
+
+#: Longest time in ms to open a connection. A database takes 12 to 27 ms; a
+#: lost opening packet is sent again after 1 s.
+OPEN_TIMEOUT = Millis(1_500)
+#: Seconds without traffic before keep-alive probes, and between them. A path
+#: that fell silent is noticed after three seconds at the latest.
+_KEEPALIVE_IDLE = 1
+_KEEPALIVE_INTERVAL = 1
+_KEEPALIVE_PROBES = 2
+#: Time in ms for which sent bytes may stay without acknowledgement.
+_USER_TIMEOUT = 2_000
+#: Prepared statements that a connection may hold before it is reset.
+_MAX_PREPARED = 64
+
+
+class ServerWire(asyncio.Protocol):
+    """One connection to a backend server.
+
+    It has at most one exchange in work, so that an answer that is lost can't
+    be taken for the answer to something else.
+
+    :param dialect: The protocol.
+    :param server: The backend server.
+    :param clock: Source of time.
+    """
+
+    def __init__(self, dialect: Dialect, server: Server, clock: Clock) -> None:
+        self.server = server
+        #: Session values and prepared statements that are set on it.
+        self.values: dict[bytes, bytes] = {}
+        self.prepared: set[bytes] = set()
+        self.closed = False
+        #: How many statements the latest :meth:`adopt` returned.
+        self.adopted = 0
+        #: When the latest answer arrived, and when the exchange was sent.
+        self.answered_at = Millis(0)
+        self.sent_at = Millis(0)
+        self._dialect = dialect
+        self._clock = clock
+        self._reader = dialect.answer_reader()
+        self._transport: Any = None
+        self._expected = 0
+        self._answers: list[Answer] = []
+        self._waiter: asyncio.Future[list[Answer]] | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether an exchange is in work.
+
+        :returns: Whether an answer is still to come.
+        """
+        return self._waiter is not None
+
+    def exchange(
+        self, payload: bytes, count: int = 1
+    ) -> 'asyncio.Future[list[Answer]]':
+        """Send statements and wait for all their answers.
+
+        :param payload: The encoded statements.
+        :param count: How many there are.
+        :returns: The answers, or :class:`ConnectionLostError`.
+        """
+        waiter = asyncio.get_running_loop().create_future()
+        if self.closed or self.busy:
+            text = 'the connection is closed' if self.closed else 'busy'
+            waiter.set_exception(ConnectionLostError(text))
+            return waiter
+        self._waiter = waiter
+        self._expected = count
+        self.sent_at = self._clock.now()
+        self._transport.write(payload)
+        return waiter
+
+    def adopt(
+        self, values: dict[bytes, bytes], prepared: tuple[bytes, bytes, bool]
+    ) -> bytes:
+        """Return the statements that give the connection a session's state.
+
+        :param values: The session's values.
+        :param prepared: Name, shape and kind of the prepared statement that
+            is to be run; an empty name for none.
+        :returns: Encoded statements; :attr:`adopted` counts them.
+        """
+        texts: list[bytes] = []
+        dialect = self._dialect
+        name, shape, read_only = prepared
+        crowded = name not in self.prepared and (
+            len(self.prepared) >= _MAX_PREPARED
+        )
+        if crowded or any(key not in values for key in self.values):
+            texts.append(dialect.reset())
+            self.values = {}
+            self.prepared = set()
+        for key, setting in values.items():
+            if self.values.get(key) != setting:
+                texts.append(dialect.set_value(key, setting))
+        self.values = dict(values)
+        if name and name not in self.prepared:
+            texts.append(dialect.prepare(name, shape, read_only=read_only))
+            self.prepared.add(name)
+        self.adopted = len(texts)
+        return b''.join(dialect.query(OWN_ID, text) for text in texts)
+
+    def abort(self) -> None:
+        """Close the connection at once; the backend server rolls back."""
+        self.closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Close the connection after what was written."""
+        self.closed = True
+        if self._transport is not None:
+            self._transport.close()
+
+    # Events of the transport.
+
+    def connection_made(self, transport: Any) -> None:
+        """Set the options that reveal a silent path.
+
+        :param transport: The transport.
+        """
+        self._transport = transport
+        reveal_silence(transport.get_extra_info('socket'))
+
+    def data_received(self, data: bytes) -> None:
+        """Collect answers.
+
+        :param data: What the backend server sent.
+        """
+        try:
+            answers = self._reader.feed(data)
+        except DialectError as exc:
+            self._fail(str(exc))
+            self.abort()
+            return
+        if not answers:
+            return
+        self.answered_at = self._clock.now()
+        self._answers.extend(answers)
+        if self._waiter is None or len(self._answers) > self._expected:
+            self._fail('an answer came that nothing asked for')
+            self.abort()
+        elif len(self._answers) == self._expected:
+            self._finish()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the exchange.
+
+        :param exc: Why the connection was lost.
+        """
+        self.closed = True
+        refusal = self._reader.broken_off()
+        if refusal is not None and self._waiter is not None:
+            self._answers.append(refusal)
+            self._finish()
+            return
+        self._fail(f'{self.server.address}: {exc or "closed"}')
+
+    def _finish(self) -> None:
+        waiter, self._waiter = self._waiter, None
+        answers, self._answers = self._answers, []
+        if waiter is not None and not waiter.done():
+            waiter.set_result(answers)
+
+    def _fail(self, text: str) -> None:
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(ConnectionLostError(text, sent=True))
+
+
+async def open_wire(
+    dialect: Dialect, server: Server, clock: Clock
+) -> tuple[ServerWire, Answer]:
+    """Open a connection to a backend server.
+
+    :param dialect: The protocol.
+    :param server: The backend server.
+    :param clock: Source of time.
+    :returns: The connection and the answer to its opening.
+    :raises ConnectionLostError: If it can't be reached in time.
+    """
+    host, port = server.address.rsplit(':', 1)
+    wire = ServerWire(dialect, server, clock)
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(seconds(OPEN_TIMEOUT)):
+            await loop.create_connection(lambda: wire, host, int(port))
+            hello = dialect.open(server.service, server.server_id)
+            (answer,) = await wire.exchange(hello)
+    except TimeoutError:
+        wire.abort()
+        raise ConnectionLostError(
+            f'{server.address}: no session within {OPEN_TIMEOUT} ms'
+        ) from None
+    except (OSError, ValueError) as exc:
+        wire.abort()
+        refused = isinstance(exc, (ConnectionRefusedError, ConnectionResetError))
+        raise ConnectionLostError(
+            f'{server.address}: {exc}', refused=refused
+        ) from exc
+    except BaseException:
+        wire.abort()
+        raise
+    if answer.code is not None:
+        wire.abort()
+    return wire, answer
+
+
+def reveal_silence(sock: socket.socket) -> None:
+    """Make the kernel close a connection whose path fell silent.
+
+    :param sock: A TCP socket.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    for option, setting in (
+        (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE),
+        (socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL),
+        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, setting)
