--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -23,6 +23,9 @@
 
 #: Longest time in ms for the answer to a statement that needs no slot.
 PROBE_TIMEOUT = Millis(300)
+#: Time in ms without an answer after which a leader is checked. The longest
+#: work of known deployments is 170 ms.
+SILENCE = Millis(250)
 #: Pause in ms between two looks for a leader.
 _SEARCH_PAUSE = Millis(50)
 #: Idle connections beyond the first are closed after this time in ms.
@@ -37,12 +40,20 @@
 
 @attrs.define
 class Member:
-    """A backend server with its connections and what is known about it."""
+    """A backend server with its connections and what is known about it.
+
+    :param server: Its entry.
+    :param lane: The connections.
+    :param record: Measurements.
+    :param running: Own statements in work on it.
+    :param answered_at: When it last answered.
+    """
 
     server: Server
     lane: Lane
     record: selection.Record = attrs.Factory(selection.Record)
     running: int = 0
+    answered_at: Millis = Millis(0)
 
 
 @attrs.define
@@ -82,10 +93,11 @@
         #: Number of daemons that share the connections.
         self.daemons = 1
         #: Is told when the leader may have failed.
-        self.on_doubt: Callable[[str], None] = _ignore
+        self.on_doubt: Callable[[Cluster, str], None] = _ignore
         self._zone = zone
+        self._unreachable: str | None = None
         self._changed = asyncio.Event()
-        self._search: asyncio.Task[None] | None = None
+        self._searches: dict[str, asyncio.Task[None]] = {}
         self._sampling: asyncio.Task[bool] | None = None
 
     @property
@@ -253,20 +265,29 @@
         :returns: Their answers.
         :raises ConnectionLostError: If they don't come.
         """
+        member = lease.member
+        watch = None
+        if member is self.leader:
+            loop = asyncio.get_running_loop()
+            watch = loop.call_later(seconds(SILENCE), self.doubt, member)
         try:
             async with asyncio.timeout(seconds(max(1, int(limit)))):
                 answers = await lease.wire.exchange(payload, count)
         except TimeoutError:
             lease.wire.abort()
-            self.doubt(lease.member)
+            self.doubt(member)
             raise ConnectionLostError(
-                f'{lease.member.server.address}: no answer in time', sent=True
+                f'{member.server.address}: no answer in time', sent=True
             ) from None
         except ConnectionLostError:
-            self.doubt(lease.member)
+            self.doubt(member)
             raise
+        finally:
+            if watch is not None:
+                watch.cancel()
+        member.answered_at = lease.wire.answered_at
         for answer in answers:
-            lease.member.record.seen(answer.position)
+            member.record.seen(answer.position)
         return answers
 
     def led(self, lease: Lease, answer: Answer) -> None:
@@ -300,7 +321,7 @@
         :param member: The backend server.
         """
         if member is self.leader:
-            self.on_doubt(member.server.server_id)
+            self.on_doubt(self, member.server.server_id)
 
     async def wait_leader(self, limit: float) -> Member | None:
         """Wait until a leader is known or likely.
@@ -368,20 +389,39 @@
         answer = await self.probe(member)
         return answer is not None and answer.succeeded
 
+    def set_unreachable(self, server_id: str | None) -> None:
+        """Note that only this daemon can't reach the leader.
+
+        :param server_id: Identity of the leader; ``None`` if it is reached.
+        """
+        if self._unreachable != server_id:
+            self._unreachable = server_id
+            self._notify()
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Tell whether the leader is up but out of this daemon's reach."""
+        leader = self.leader
+        if self._unreachable is None or leader is None:
+            return False
+        return leader.server.server_id == self._unreachable
+
     def search(self) -> None:
         """Look for the leader until one accepts a transaction."""
-        if self._search is None or self._search.done():
-            self._search = asyncio.get_running_loop().create_task(
-                self._find_leader()
-            )
-
-    async def _find_leader(self) -> None:
-        while self.leadership.leader is None and self.members:
-            believed = self.leader
-            members = [believed] if believed else list(self.members.values())
-            await asyncio.gather(*map(self.probe, members))
-            if self.leadership.leader is None:
-                await asyncio.sleep(seconds(_SEARCH_PAUSE))
+        if self.leadership.leader is not None:
+            return
+        loop = asyncio.get_running_loop()
+        for name in self.members:
+            running = self._searches.get(name)
+            if running is None or running.done():
+                self._searches[name] = loop.create_task(self._search(name))
+
+    async def _search(self, name: str) -> None:
+        while self.leadership.leader is None and name in self.members:
+            believed = self.leadership.believed()
+            if believed is None or believed == name:
+                await self.probe(self.members[name])
+            await asyncio.sleep(seconds(_SEARCH_PAUSE))
 
     def _pool_rules(self) -> pools.PoolRules:
         limit = self.rules.connection_limit
@@ -404,6 +444,6 @@
         self._changed = asyncio.Event()
 
 
-def _ignore(_server_id: str) -> None:
+def _ignore(_cluster: Cluster, _server_id: str) -> None:
     """Do nothing; stands in until somebody watches the leader."""
 
--- a/monsoonproxy/following.py
+++ b/monsoonproxy/following.py
@@ -7,7 +7,7 @@
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.exceptions import HistoryLostError, PlatformError
 from monsoonproxy.logs import log_for
-from monsoonproxy.stores import Changes, Store
+from monsoonproxy.stores import Changes, Store, Table
 
 _log = log_for('store')
 
@@ -26,13 +26,13 @@
     """Keeps a copy of one table up to date.
 
     :param store: The store.
-    :param table: Name of the table.
+    :param table: The table.
     :param take: Takes rows, and whether they are the whole table.
     :param clock: Source of time.
     """
 
     def __init__(
-        self, store: Store, table: str, take: Take, clock: Clock
+        self, store: Store, table: Table, take: Take, clock: Clock
     ) -> None:
         #: When the store last failed, or 0.
         self.failed_at = Millis(0)
@@ -53,7 +53,7 @@
                 await self._step()
                 pause = _FIRST_PAUSE
             except HistoryLostError:
-                _log.info('History of {} is gone; reading all', self._table)
+                _log.info('History of {} is gone; reading all', self._table.value)
                 self._version = None
             except PlatformError as exc:
                 self._note_failure(exc)
@@ -71,7 +71,7 @@
         self.answered_at = self._clock.now()
         if not self.connected:
             self.connected = True
-            _log.info('Following {} from {}', self._table, changes.version)
+            _log.info('Following {} from {}', self._table.value, changes.version)
         self._version = changes.version
         if whole or changes.rows:
             self._take(changes, whole)
@@ -80,4 +80,4 @@
         self.failed_at = self._clock.now()
         if self.connected:
             self.connected = False
-            _log.warning('Lost {}: {}', self._table, exc)
+            _log.warning('Lost {}: {}', self._table.value, exc)
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -1,6 +1,7 @@
 """A daemon that reaches its backend servers directly."""
 
 import asyncio
+import random
 import signal
 
 import attrs
@@ -10,21 +11,21 @@
 from monsoonproxy.clusters import Cluster
 from monsoonproxy.conversations import Conversation
 from monsoonproxy.dialects import Dialect
-from monsoonproxy.exceptions import ConfigurationError
+from monsoonproxy.exceptions import ConfigurationError, PlatformError
 from monsoonproxy.following import Follower
+from monsoonproxy.gossip import FANOUT, Gossip
 from monsoonproxy.logs import log_for
+from monsoonproxy.neighbours import Neighbours
+from monsoonproxy.promotion import Promoter
 from monsoonproxy.queries import Answer, Query
 from monsoonproxy.routes import RouteTable
 from monsoonproxy.running import Runner
 from monsoonproxy.servers import Server, ServerList
-from monsoonproxy.stores import Changes, Documents, Store
-from monsoonproxy.supervisors import Supervisor
+from monsoonproxy.stores import Changes, Documents, Store, Table
+from monsoonproxy.supervisors import Restart, RestartRule, Supervisor
 
 _log = log_for('node')
 
-_CONFIGURATION_TABLE = 'op'
-_CONFIGURATION_KEY = 'config'
-_SERVERS_TABLE = 'servers'
 #: Pause in ms between two looks at idle transactions and lapsed entries.
 _SWEEP = Millis(250)
 #: Time in ms after a failure of the store in which a removed entry may only
@@ -36,6 +37,10 @@
 _TRANSACTIONS_SHARE = 0.5
 _END_SHARE = 0.9
 _DRAIN_PAUSE = 50
+#: Pause in ms before another try to register.
+_REGISTER_PAUSE = 500
+#: A task that has nothing left to do may return.
+_ONCE = RestartRule(restart=Restart.TRANSIENT)
 
 
 @attrs.frozen
@@ -103,11 +108,21 @@
         self._clients = Clients(
             self, dialect, self._clock, self, settings.max_callers
         )
+        rng = random.Random()
+        self._neighbours = Neighbours(settings.name, rng)
+        self._gossip = Gossip(
+            settings.name, settings.peer_address, self._neighbours, self._clock
+        )
+        self._gossip.document = self._document
+        self._gossip.take_document = self.take_routes
+        self._promoter = Promoter(
+            settings.name, store, self._gossip, self._find, self._clock, rng
+        )
         self._routes_follower = Follower(
-            store, _CONFIGURATION_TABLE, self._take_operator, self._clock
+            store, Table.CONFIGURATION, self._take_operator, self._clock
         )
         self._servers_follower = Follower(
-            store, _SERVERS_TABLE, self._take_servers, self._clock
+            store, Table.SERVERS, self._take_servers, self._clock
         )
 
     @property
@@ -148,7 +163,10 @@
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._clients.start(self._settings.listen_address)
+        await self._gossip.start()
         children = self._supervisor
+        children.start_child('register', self._register, _ONCE)
+        children.start_child('gossip', self._gossip.run)
         children.start_child('routes', self._routes_follower.run)
         children.start_child('servers', self._servers_follower.run)
         children.start_child('sweep', self._sweep)
@@ -159,9 +177,41 @@
         self._clients.stop()
         for runner in self._runners.values():
             runner.cluster.close()
+        self._gossip.close()
         self._store.close()
         _log.info('{} stopped', self._settings.name)
 
+    async def _register(self) -> None:
+        """Tell the others where this daemon is, and learn where they are."""
+        settings = self._settings
+        while True:
+            try:
+                await self._store.put(
+                    Table.DAEMONS,
+                    settings.name,
+                    settings.peer_address.encode(),
+                )
+                listed = await self._store.read(Table.DAEMONS)
+                await self._promoter.tokens.load()
+            except PlatformError as exc:
+                _log.info('Not registered yet: {}', exc)
+                await asyncio.sleep(seconds(_REGISTER_PAUSE))
+                continue
+            for row in listed.rows:
+                if row.content:
+                    self._neighbours.add(row.key, row.content.decode())
+            self._gossip.announce(self._neighbours.all())
+            return
+
+    def _find(self, service: str) -> Cluster | None:
+        runner = self._runners.get(service)
+        return runner.cluster if runner else None
+
+    def _document(self) -> tuple[int, bytes]:
+        if self.table is None:
+            return 0, b''
+        return self.table.version, self.table.document
+
     def _reload(self) -> None:
         _log.info('Settings file changed; nothing in it applies at run time')
 
@@ -192,12 +242,14 @@
                 self._clients.end_idle_transactions(limit)
             for server in self._servers.expire(self._clock.now()):
                 self._drop(server)
+            for runner in self._runners.values():
+                self._promoter.look_for_leaving(runner.cluster)
 
     # The operator's configuration.
 
     def _take_operator(self, changes: Changes, _whole: bool) -> None:
         for row in changes.rows:
-            if row.key == _CONFIGURATION_KEY and row.content is not None:
+            if row.content is not None:
                 self.take_routes(row.content)
 
     def take_routes(self, content: bytes) -> None:
@@ -214,6 +266,9 @@
             return
         self.table = table
         _log.info('Configuration {} in force', table.version)
+        self._gossip.announce(
+            self._neighbours.some(FANOUT, self._clock.now())
+        )
         for name, rules in table.services.items():
             if name not in self._runners:
                 self._start_service(name, rules)
@@ -225,6 +280,7 @@
             rules, self._dialect, self._settings.availability_zone, self._clock
         )
         cluster.daemons = 15
+        cluster.on_doubt = self._promoter.doubt
         self._runners[name] = Runner(cluster)
         for server in self._servers.of(name):
             cluster.put(server)
--- /dev/null
+++ b/monsoonproxy/notices.py
@@ -0,0 +1,101 @@
+"""Datagrams between daemons.
+
+They travel as MessagePack arrays. A notice's tag is its class name. Any of
+them may be lost, doubled or late.
+"""
+
+from typing import TypeAlias
+
+import msgspec
+
+
+class _Notice(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Base of all notices.
+
+    :param sender: Name of the daemon that sent it.
+    """
+
+    sender: str
+
+
+class Presence(_Notice, frozen=True):
+    """A daemon is there.
+
+    :param address: Where it takes notices.
+    :param started: When it started, in ms since the Unix epoch.
+    :param version: Version of the configuration that it has in force.
+    :param leaving: Whether it is about to stop.
+    """
+
+    address: str
+    started: int
+    version: int
+    leaving: bool = False
+
+
+class Question(_Notice, frozen=True):
+    """Asks whether the receiver reaches the leader of a service.
+
+    :param number: Number of the question.
+    :param service: Name of the service.
+    :param server_id: The backend server that the sender takes for the leader.
+    """
+
+    number: int
+    service: str
+    server_id: str
+
+
+class Opinion(_Notice, frozen=True):
+    """Answers a question.
+
+    :param number: Number of the question.
+    :param reachable: Whether the sender reaches that backend server.
+    :param leader: The backend server that the sender takes for the leader.
+    :param term: Greatest term that the sender has seen.
+    """
+
+    number: int
+    reachable: bool
+    leader: str
+    term: int
+
+
+class Succession(_Notice, frozen=True):
+    """The sender has ordered the promotion of a backend server.
+
+    :param service: Name of the service.
+    :param server_id: The backend server.
+    :param token: Token of the order.
+    """
+
+    service: str
+    server_id: str
+    token: int
+
+
+Notice: TypeAlias = Presence | Question | Opinion | Succession
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Notice)
+
+
+def encode(notice: Notice) -> bytes:
+    """Encode a notice.
+
+    :param notice: The notice.
+    :returns: The datagram.
+    """
+    return _encoder.encode(notice)
+
+
+def decode(datagram: bytes) -> Notice | None:
+    """Decode a notice.
+
+    :param datagram: The datagram.
+    :returns: The notice, or ``None`` if it is malformed.
+    """
+    try:
+        return _decoder.decode(datagram)
+    except msgspec.MsgspecError:
+        return None
--- a/monsoonproxy/pinned.py
+++ b/monsoonproxy/pinned.py
@@ -130,9 +130,9 @@
         :returns: What to tell the caller if that is not possible.
         """
         while self._left(job) > 0:
-            anywhere = self.read_only and (
-                job.route.freshness is not Freshness.PRIMARY
-            )
+            anywhere = self._runs_read_only(job)
+            if not anywhere and self._cluster.is_cut_off:
+                break
             begun = await (
                 self._open_anywhere(job) if anywhere else self._open_leader(job)
             )
--- a/monsoonproxy/running.py
+++ b/monsoonproxy/running.py
@@ -118,7 +118,7 @@
         """
         attempts: set[asyncio.Task[Answer | None]] = set()
         lagging = False
-        while self._left(job) > 0:
+        while self._left(job) > 0 and not self._is_hopeless(job):
             pending = {task for task in attempts if not task.done()}
             if len(pending) < _MOST_ATTEMPTS:
                 task = await self._next_attempt(job)
@@ -144,7 +144,7 @@
         cluster = self.cluster
         while self._left(job) > 0:
             member = await cluster.wait_leader(self._left(job))
-            if member is None:
+            if member is None or cluster.is_cut_off:
                 break
             try:
                 lease = await cluster.acquire(member, self._left(job))
@@ -210,6 +210,11 @@
             return None if floor is None else max(floor, own)
         return floor
 
+    def _is_hopeless(self, job: Job) -> bool:
+        """Tell whether only other daemons can serve a read now."""
+        needs_leader = job.route.freshness is Freshness.PRIMARY
+        return needs_leader and self.cluster.is_cut_off
+
     def _left(self, job: Job) -> float:
         return job.deadline - self._clock.now()
 
--- a/monsoonproxy/stores.py
+++ b/monsoonproxy/stores.py
@@ -1,5 +1,6 @@
 """Port to the store that a platform offers to daemons."""
 
+import enum
 from typing import Protocol
 
 import attrs
@@ -9,6 +10,19 @@
 from monsoonproxy.servers import Server
 
 
+class Table(enum.Enum):
+    """The tables that a daemon uses."""
+
+    #: The operator's configuration; daemons may only read it.
+    CONFIGURATION = 'configuration'
+    #: What backend servers say of themselves; daemons may only read it.
+    SERVERS = 'servers'
+    #: The daemons, by name.
+    DAEMONS = 'daemons'
+    #: Who may promote, by service.
+    TOKENS = 'tokens'
+
+
 @attrs.frozen
 class Change:
     """What the store says about one row.
@@ -43,17 +57,17 @@
     still do so if its condition holds then.
     """
 
-    async def read(self, table: str) -> Changes:
+    async def read(self, table: Table) -> Changes:
         """Read a whole table.
 
-        :param table: Its name.
+        :param table: The table.
         :returns: All rows.
         """
 
-    async def follow(self, table: str, after: int, wait: Millis) -> Changes:
+    async def follow(self, table: Table, after: int, wait: Millis) -> Changes:
         """Wait for changes of a table.
 
-        :param table: Its name.
+        :param table: The table.
         :param after: Version up to which it is known.
         :param wait: Longest wait in ms.
         :returns: The changed rows, which may be none.
@@ -61,11 +75,11 @@
         """
 
     async def write(
-        self, table: str, key: str, content: bytes, expected: int
+        self, table: Table, key: str, content: bytes, expected: int
     ) -> Change:
         """Write a row if its version is as expected.
 
-        :param table: Name of the table.
+        :param table: The table.
         :param key: Key of the row.
         :param content: New content.
         :param expected: Version that the row must have; 0 for no row.
@@ -73,10 +87,10 @@
             condition did not hold.
         """
 
-    async def put(self, table: str, key: str, content: bytes) -> None:
+    async def put(self, table: Table, key: str, content: bytes) -> None:
         """Write a row without a condition.
 
-        :param table: Name of the table.
+        :param table: The table.
         :param key: Key of the row.
         :param content: New content.
         """
--- /dev/null
+++ b/monsoonproxy/tokenbook.py
@@ -0,0 +1,117 @@
+"""Tokens that order the promotions of all daemons."""
+
+import attrs
+import msgspec
+
+from monsoonproxy.exceptions import PlatformError
+from monsoonproxy.logs import log_for
+from monsoonproxy.stores import Change, Store, Table
+
+_log = log_for('tokens')
+
+#: Tries of a claim whose answer is lost.
+_TRIES = 3
+
+
+class _Entry(msgspec.Struct):
+    """The stored row of a service.
+
+    :param holder: Daemon that has the token.
+    :param token: The token.
+    :param server_id: Backend server that it was taken for.
+    """
+
+    holder: str = ''
+    token: int = 0
+    server_id: str = ''
+
+
+@attrs.define
+class _Known:
+    """The last row seen, and the greatest token heard of."""
+
+    version: int = 0
+    token: int = 0
+    heard: int = 0
+
+
+class TokenBook:
+    """Takes tokens from the store.
+
+    A token belongs to one order of one daemon. Greater tokens belong to later
+    orders, since each is taken by a conditional write.
+
+    :param name: Name of the daemon.
+    :param store: The store.
+    """
+
+    def __init__(self, name: str, store: Store) -> None:
+        self._name = name
+        self._store = store
+        self._known: dict[str, _Known] = {}
+
+    def newest(self, service: str) -> int:
+        """Return the greatest token heard of.
+
+        :param service: Name of the service.
+        :returns: The token, 0 if none.
+        """
+        known = self._known.get(service)
+        return max(known.token, known.heard) if known else 0
+
+    def heard(self, service: str, token: int) -> None:
+        """Take in a token that another daemon told.
+
+        :param service: Name of the service.
+        :param token: The token.
+        """
+        known = self._known.setdefault(service, _Known())
+        known.heard = max(known.heard, token)
+
+    async def load(self) -> None:
+        """Read the tokens that are in the store.
+
+        :raises PlatformError: If the store does not answer.
+        """
+        changes = await self._store.read(Table.TOKENS)
+        for row in changes.rows:
+            self._take(row.key, row)
+
+    async def claim(self, service: str, server_id: str) -> int | None:
+        """Take the next token.
+
+        :param service: Name of the service.
+        :param server_id: Backend server that is to be promoted with it.
+        :returns: The token, or ``None`` if another daemon has just taken one.
+        :raises PlatformError: If the store does not answer. The token may be
+            taken nevertheless, which does no harm.
+        """
+        known = self._known.setdefault(service, _Known())
+        entry = _Entry(self._name, self.newest(service) + 1, server_id)
+        content = msgspec.json.encode(entry)
+        for attempt in range(1, _TRIES + 1):
+            try:
+                row = await self._store.write(
+                    Table.TOKENS, service, content, known.version
+                )
+            except PlatformError as exc:
+                _log.info('Claim {} for {}: {}', entry.token, service, exc)
+                if attempt == _TRIES:
+                    raise
+                continue
+            found = self._take(service, row)
+            if found == entry:
+                return entry.token
+            return None
+        return None
+
+    def _take(self, service: str, row: Change) -> _Entry:
+        known = self._known.setdefault(service, _Known())
+        try:
+            found = msgspec.json.decode(row.content or b'{}', type=_Entry)
+        except msgspec.MsgspecError as exc:
+            _log.error('Token row of {} is malformed: {}', service, exc)
+            found = _Entry()
+        known.version = row.version
+        known.token = max(known.token, found.token)
+        return found
--- /dev/null
+++ b/monsoonproxy/verdicts.py
@@ -0,0 +1,131 @@
+"""Decisions about replacing a leader."""
+
+import enum
+from collections.abc import Iterable
+
+import attrs
+
+from monsoonproxy.models import Position
+
+#: Share of the daemons heard that must miss a leader before it is replaced.
+#: Callers of fewer daemons are served on their retries through the others; a
+#: replacement interrupts the writes of all daemons.
+_MISSING_SHARE = 0.25
+
+
+class Verdict(enum.Enum):
+    """What to do about a leader that this daemon can't reach."""
+
+    #: The others don't miss it, or there is a newer one.
+    KEEP = 'keep'
+    #: Enough daemons miss it.
+    REPLACE = 'replace'
+    #: Nobody else was heard.
+    ALONE = 'alone'
+
+
+@attrs.define
+class Tally:
+    """The opinions of the daemons that were asked.
+
+    :param asked: How many were asked.
+    :param missing: Names of those that don't reach the leader.
+    :param reaching: Names of those that do.
+    """
+
+    asked: int
+    missing: set[str] = attrs.Factory(set)
+    reaching: set[str] = attrs.Factory(set)
+
+    def add(self, name: str, *, reachable: bool) -> None:
+        """Take in an opinion.
+
+        :param name: Whose it is.
+        :param reachable: Whether it reaches the leader.
+        """
+        (self.reaching if reachable else self.missing).add(name)
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether all answered."""
+        return len(self.missing) + len(self.reaching) >= self.asked
+
+    def verdict(self) -> Verdict:
+        """Decide, counting this daemon as one that misses the leader.
+
+        :returns: The verdict.
+        """
+        missing = len(self.missing) + 1
+        heard = missing + len(self.reaching)
+        if heard == 1:
+            return Verdict.ALONE
+        if missing >= 2 and missing >= _MISSING_SHARE * heard:
+            return Verdict.REPLACE
+        # Of two daemons, one that misses the leader is half of them.
+        if heard == 2 and self.asked == 1 and self.missing:
+            return Verdict.REPLACE
+        return Verdict.KEEP
+
+
+@attrs.frozen
+class Survey:
+    """What a possible successor answered.
+
+    :param name: Its identity.
+    :param received: Last position that it has received; ``None`` if it did
+        not answer.
+    :param leaving: Whether it is about to leave.
+    :param born: When it started, in ms since the Unix epoch.
+    """
+
+    name: str
+    received: Position | None
+    leaving: bool = False
+    born: int = 0
+
+
+def choose_successor(
+    surveys: Iterable[Survey], *, needs_all: bool = False
+) -> str | None:
+    """Choose the backend server to promote after a failure.
+
+    The one with the longest log loses the least. Of equals, one that stays
+    is preferred, and then the one that started last, as a release replaces
+    the oldest first.
+
+    :param surveys: The possible successors.
+    :param needs_all: Whether one that did not answer may have a commit that
+        no other has, so that nothing can be chosen without it.
+    :returns: Its identity, or ``None`` if there is none to choose.
+    """
+    found = list(surveys)
+    answered = [survey for survey in found if survey.received is not None]
+    if needs_all and len(answered) < len(found):
+        return None
+    best = max(
+        answered,
+        key=lambda survey: (survey.received, not survey.leaving, survey.born),
+        default=None,
+    )
+    return None if best is None else best.name
+
+
+def choose_replacement(
+    surveys: Iterable[Survey], reached: Position
+) -> str | None:
+    """Choose the backend server that takes over from one that leaves.
+
+    :param surveys: The possible successors.
+    :param reached: Position of the leader.
+    :returns: Identity of the one that started last of those that have the
+        leader's position and stay, or ``None`` if there is none yet.
+    """
+    complete = [
+        survey
+        for survey in surveys
+        if survey.received is not None
+        and survey.received >= reached
+        and not survey.leaving
+    ]
+    best = max(complete, key=lambda survey: survey.born, default=None)
+    return None if best is None else best.name
