--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -26,6 +26,10 @@
 #: Time in ms without an answer after which a leader is checked. Checks are
 #: cheap, since they need no slot.
 SILENCE = Millis(120)
+#: Longest time in ms in which a leader is replaced: detection, orders that
+#: are sent again, and 1 s to carry one out. Later, callers are told at once
+#: that nothing runs here.
+TAKEOVER_LIMIT = Millis(2_500)
 #: Pause in ms between two looks for a leader.
 _SEARCH_PAUSE = Millis(50)
 #: Idle connections beyond the first are closed after this time in ms. After a
@@ -108,6 +112,7 @@
         self.on_doubt: Callable[[Cluster, str], None] = _ignore
         self._zone = zone
         self._unreachable: str | None = None
+        self._leaderless_since: Millis | None = None
         self._changed = asyncio.Event()
         self._searches: dict[str, asyncio.Task[None]] = {}
         self._sampling: asyncio.Task[bool] | None = None
@@ -312,6 +317,7 @@
             return
         name = lease.member.server.server_id
         self.floors.add(lease.wire.sent_at, answer.position)
+        self._leaderless_since = None
         if self.leadership.accepted(name, answer.position.term):
             _log.info('{} leads in term {}', name, answer.position.term)
             self._notify()
@@ -415,6 +421,20 @@
             self._unreachable = server_id
             self._notify()
 
+    @property
+    def is_hopeless(self) -> bool:
+        """Tell whether waiting for a leader is in vain.
+
+        :returns: Whether only this daemon can't reach the leader, or none was
+            found for longer than a replacement takes.
+        """
+        if self.is_cut_off:
+            return True
+        since = self._leaderless_since
+        if since is None or self.leadership.leader is not None:
+            return False
+        return self.clock.now() - since > TAKEOVER_LIMIT
+
     @property
     def is_cut_off(self) -> bool:
         """Tell whether the leader is up but out of this daemon's reach."""
@@ -427,6 +447,8 @@
         """Look for the leader until one accepts a transaction."""
         if self.leadership.leader is not None:
             return
+        if self._leaderless_since is None:
+            self._leaderless_since = self.clock.now()
         loop = asyncio.get_running_loop()
         for name in self.members:
             running = self._searches.get(name)
--- a/monsoonproxy/pinned.py
+++ b/monsoonproxy/pinned.py
@@ -131,7 +131,7 @@
         """
         while self._left(job) > 0:
             anywhere = self._runs_read_only(job)
-            if not anywhere and self._cluster.is_cut_off:
+            if not anywhere and self._cluster.is_hopeless:
                 break
             begun = await (
                 self._open_anywhere(job) if anywhere else self._open_leader(job)
--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -11,7 +11,7 @@
 
 from monsoonproxy import notices, verdicts
 from monsoonproxy.clock import Clock, Millis, seconds
-from monsoonproxy.clusters import Cluster, Member
+from monsoonproxy.clusters import TAKEOVER_LIMIT, Cluster, Member
 from monsoonproxy.exceptions import (
     ConnectionLostError,
     DialectError,
@@ -40,10 +40,6 @@
 #: told to the others before the next is made.
 _RANK_DELAY = 15
 _PLANNED_RANK_DELAY = 250
-#: Longest wait in ms until an ordered promotion is carried out, before
-#: another one is ordered. Known databases take up to 1 s, and an order that is
-#: carried out late up to 12 s, when its token is too low.
-_TAKEOVER_LIMIT = Millis(2_500)
 #: Pause in ms before another try after the others did not agree.
 _RETRY_PAUSE = 300
 #: Time in ms after which a daemon that hears nobody decides alone.
@@ -123,18 +119,22 @@
     async def _resolve(self, cluster: Cluster, member: Member) -> None:
         began = self._clock.now()
         name = member.server.server_id
+        token = self.tokens.newest(cluster.rules.name)
         while cluster.members.get(name) is member:
             if cluster.leadership.leader not in {name, None}:
                 break
-            if not await self._is_missing(cluster, member):
+            missing, verdict = await asyncio.gather(
+                self._is_missing(cluster, member), self._ask(cluster, member)
+            )
+            if not missing:
                 break
-            verdict = await self._ask(cluster, member)
             _log.info('{} is missing; verdict: {}', name, verdict.value)
             waited = self._clock.now() - began
             alone = verdict is Verdict.ALONE and waited > _ALONE_AFTER
             if verdict is Verdict.REPLACE or alone:
-                if await self._replace(cluster, member):
+                if await self._replace(cluster, member, token):
                     break
+                token = self.tokens.newest(cluster.rules.name)
             elif verdict is Verdict.KEEP:
                 cluster.set_unreachable(name)
             await asyncio.sleep(seconds(_RETRY_PAUSE))
@@ -179,13 +179,14 @@
         self._complete.pop(number)
         return tally.verdict()
 
-    async def _replace(self, cluster: Cluster, member: Member) -> bool:
+    async def _replace(
+        self, cluster: Cluster, member: Member, token_before: int
+    ) -> bool:
         """Promote another backend server; return whether there is a leader."""
         service = cluster.rules.name
         name = member.server.server_id
         cluster.leadership.refused(name, self._clock.now())
         cluster.search()
-        token_before = self.tokens.newest(service)
         await asyncio.sleep(seconds(1) * self._rank(service) * _RANK_DELAY)
         if self.tokens.newest(service) > token_before:
             # Another daemon has ordered a promotion meanwhile.
@@ -277,7 +278,7 @@
         self._gossip.send(notice, *(other.address for other in known))
 
     async def _taken_over(self, cluster: Cluster) -> bool:
-        until = self._clock.now() + _TAKEOVER_LIMIT
+        until = self._clock.now() + TAKEOVER_LIMIT
         while self._clock.now() < until:
             if cluster.leadership.leader is not None:
                 return True
@@ -292,7 +293,7 @@
         token_before = self.tokens.newest(service)
         await asyncio.sleep(seconds(delay))
         if self.tokens.newest(service) > token_before:
-            await asyncio.sleep(seconds(_TAKEOVER_LIMIT))
+            await asyncio.sleep(seconds(TAKEOVER_LIMIT))
             return
         if cluster.leader is not leader:
             return
@@ -311,7 +312,7 @@
             await self._deposed(cluster, leader)
 
     async def _deposed(self, cluster: Cluster, leader: Member) -> None:
-        until = self._clock.now() + _TAKEOVER_LIMIT
+        until = self._clock.now() + TAKEOVER_LIMIT
         while cluster.leader is leader and self._clock.now() < until:
             await cluster.probe(leader)
             await asyncio.sleep(seconds(_PROBE_PAUSE))
--- a/monsoonproxy/running.py
+++ b/monsoonproxy/running.py
@@ -80,6 +80,7 @@
     :param prepared: Name, shape and kind of the prepared statement that it
         runs; the name is empty if it runs none.
     :param tried: Backend servers that it was offered to, and how that ended.
+    :param refusals: How often nothing could be done.
     """
 
     request_id: bytes
@@ -90,6 +91,7 @@
     arrived: Millis
     prepared: tuple[bytes, bytes, bool] = (b'', b'', True)
     tried: dict[str, str] = attrs.Factory(dict)
+    refusals: int = 0
 
     @property
     def deadline(self) -> Millis:
@@ -127,7 +129,8 @@
                 elif not pending:
                     lagging = 'lagging' in job.tried.values()
                     job.tried.clear()
-                    await self._pause(job, _BUSY_PAUSE)
+                    job.refusals += 1
+                    await self._pause(job, _BUSY_PAUSE * job.refusals)
                     continue
             answer = await self._first_answer(job, attempts)
             if answer is not None:
@@ -144,7 +147,7 @@
         cluster = self.cluster
         while self._left(job) > 0:
             member = await cluster.wait_leader(self._left(job))
-            if member is None or cluster.is_cut_off:
+            if member is None or cluster.is_hopeless:
                 break
             try:
                 lease = await cluster.acquire(member, self._left(job))
@@ -213,7 +216,7 @@
     def _is_hopeless(self, job: Job) -> bool:
         """Tell whether only other daemons can serve a read now."""
         needs_leader = job.route.freshness is Freshness.PRIMARY
-        return needs_leader and self.cluster.is_cut_off
+        return needs_leader and self.cluster.is_hopeless
 
     def _left(self, job: Job) -> float:
         return job.deadline - self._clock.now()
@@ -399,7 +402,8 @@
             lease.wire.prepared.clear()
             return None
         if code in NOT_RUN:
-            await self._pause(job, _BUSY_PAUSE)
+            job.refusals += 1
+            await self._pause(job, _BUSY_PAUSE * job.refusals)
             return None
         if answer.succeeded:
             return self.failure(Code.IN_DOUBT, 'the answer is not signed')
--- a/monsoonproxy/selection.py
+++ b/monsoonproxy/selection.py
@@ -22,8 +22,10 @@
 _FAILURE_LIMIT = 0.15
 _FAILURE_SMOOTHING = 0.1
 #: Time in ms after which a backend server that refused a read for its lag is
-#: tried again without other news of its position.
-_LAG_PAUSE = 40
+#: tried again without other news of its position; doubles with each further
+#: refusal.
+_FIRST_LAG_PAUSE = 20
+_LONGEST_LAG_PAUSE = 320
 
 
 @attrs.define
@@ -35,6 +37,7 @@
     :param position: Greatest position seen in its answers.
     :param lagging_until: Until when it is taken for too far behind.
     :param behind: Position that it lacked.
+    :param refusals: How often it was too far behind in a row.
     :param ejected_until: Until when it gets no reads.
     :param ejections: How often it was set aside in a row.
     """
@@ -44,6 +47,7 @@
     position: Position | None = None
     lagging_until: int = 0
     behind: Position | None = None
+    refusals: int = 0
     ejected_until: int = 0
     ejections: int = 0
 
@@ -58,6 +62,7 @@
         """
         self.latency += (took - self.latency) * _SMOOTHING
         self.failures -= self.failures * _FAILURE_SMOOTHING
+        self.refusals = 0
         self.seen(position)
         if now >= self.ejected_until:
             self.ejections = 0
@@ -78,8 +83,14 @@
         :param floor: The position.
         :param now: The time.
         """
+        if now < self.lagging_until and self.behind is not None:
+            # Several reads found it behind at the same time.
+            self.behind = min(self.behind, floor)
+            return
         self.behind = floor
-        self.lagging_until = now + _LAG_PAUSE
+        pause = min(_LONGEST_LAG_PAUSE, _FIRST_LAG_PAUSE << self.refusals)
+        self.refusals = min(self.refusals + 1, 8)
+        self.lagging_until = now + pause
 
     def failed(self, now: Millis, *, lost: bool) -> None:
         """Take in a failed or missing answer.
--- a/monsoonproxy/verdicts.py
+++ b/monsoonproxy/verdicts.py
@@ -20,7 +20,7 @@
     KEEP = 'keep'
     #: Enough daemons miss it.
     REPLACE = 'replace'
-    #: Nobody else was heard.
+    #: There is nobody else to ask.
     ALONE = 'alone'
 
 
@@ -48,27 +48,24 @@
     @property
     def is_settled(self) -> bool:
         """Tell whether further opinions can't change the verdict."""
-        missing = len(self.missing)
-        if missing + len(self.reaching) >= self.asked:
-            return True
-        everyone = self.asked + 1
-        return missing >= 1 and missing + 1 >= _MISSING_SHARE * everyone
+        complete = len(self.missing) + len(self.reaching) >= self.asked
+        return complete or self.verdict() is Verdict.REPLACE
 
     def verdict(self) -> Verdict:
         """Decide, counting this daemon as one that misses the leader.
 
+        Daemons that don't answer may be together with the leader on the other
+        side of a partition. If they are more than those that miss it, the
+        leader stays, since it serves more callers there.
+
         :returns: The verdict.
         """
-        missing = len(self.missing) + 1
-        heard = missing + len(self.reaching)
-        if heard == 1:
+        if not self.asked:
             return Verdict.ALONE
-        if missing >= 2 and missing >= _MISSING_SHARE * heard:
-            return Verdict.REPLACE
-        # Of two daemons, one that misses the leader is half of them.
-        if heard == 2 and self.asked == 1 and self.missing:
-            return Verdict.REPLACE
-        return Verdict.KEEP
+        missing = len(self.missing) + 1
+        silent = self.asked - len(self.missing) - len(self.reaching)
+        enough = missing >= _MISSING_SHARE * (self.asked + 1)
+        return Verdict.REPLACE if enough and missing >= silent else Verdict.KEEP
 
 
 @attrs.frozen
