--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -17,6 +17,7 @@
 from monsoonproxy.queries import OWN_ID, Answer, Code, TransactionState
 from monsoonproxy.routes import ServiceRules
 from monsoonproxy.servers import Server
+from monsoonproxy.telemetry import Telemetry
 from monsoonproxy.wires import ServerWire
 
 _log = log_for('cluster')
@@ -95,11 +96,18 @@
     :param dialect: Protocol of its backend servers.
     :param zone: Availability zone of the daemon.
     :param clock: Source of time.
+    :param telemetry: Counts what happens.
     """
 
     def __init__(
-        self, rules: ServiceRules, dialect: Dialect, zone: str, clock: Clock
+        self,
+        rules: ServiceRules,
+        dialect: Dialect,
+        zone: str,
+        clock: Clock,
+        telemetry: Telemetry,
     ) -> None:
+        self.telemetry = telemetry
         self.rules = rules
         self.dialect = dialect
         self.clock = clock
@@ -140,7 +148,13 @@
             self.remove(server.server_id)
             member = None
         if member is None:
-            lane = Lane(server, self.dialect, self._pool_rules(), self.clock)
+            lane = Lane(
+                server,
+                self.dialect,
+                self._pool_rules(),
+                self.clock,
+                self.telemetry,
+            )
             self.members[server.server_id] = Member(server, lane)
             lane.warm_up()
             was_primary = False
@@ -377,6 +391,7 @@
         :param limit: Longest wait in ms.
         :returns: The answer, or ``None`` if it can't be reached.
         """
+        self.telemetry.count('probes')
         try:
             async with self.leased(member, limit) as lease:
                 answer = await self.begin(lease, limit)
@@ -399,10 +414,11 @@
             self._sampling = asyncio.get_running_loop().create_task(
                 self._take_sample()
             )
+        sampling = self._sampling
         done, _pending = await asyncio.wait(
-            (self._sampling,), timeout=seconds(max(1, int(limit)))
+            (sampling,), timeout=seconds(max(1, int(limit)))
         )
-        return bool(done) and self._sampling.result()
+        return bool(done) and sampling.result()
 
     async def _take_sample(self) -> bool:
         member = self.leader
--- a/monsoonproxy/lanes.py
+++ b/monsoonproxy/lanes.py
@@ -13,6 +13,7 @@
 from monsoonproxy.logs import log_for
 from monsoonproxy.queries import Code
 from monsoonproxy.servers import Server
+from monsoonproxy.telemetry import Telemetry
 from monsoonproxy.wires import ServerWire, open_wire
 
 _log = log_for('lane')
@@ -36,6 +37,7 @@
     :param dialect: Its protocol.
     :param rules: Settings of the pool.
     :param clock: Source of time.
+    :param telemetry: Counts what happens.
     """
 
     def __init__(
@@ -44,8 +46,10 @@
         dialect: Dialect,
         rules: pools.PoolRules,
         clock: Clock,
+        telemetry: Telemetry,
     ) -> None:
         self.server = server
+        self._telemetry = telemetry
         self.gone = False
         #: Statements in work, of this daemon.
         self.running = 0
@@ -122,6 +126,7 @@
         """
         wire = self._wires.pop(number, None)
         if wire is not None:
+            self._telemetry.count('connections_given_up')
             wire.abort()
         self._pool.closed(number)
         self._tick()
@@ -238,6 +243,7 @@
             self._not_opened(ConnectionLostError(text), too_many=too_many)
             return
         self.opened_at = now
+        self._telemetry.count('connections_opened')
         number = next(self._numbers)
         self._wires[number] = wire
         self._run(self._pool.opened(number, now))
@@ -247,7 +253,9 @@
         now = self._clock.now()
         self._pool.open_failed(too_many=too_many, now=now)
         if too_many:
+            self._telemetry.count('connections_over_limit')
             return
+        self._telemetry.count('connections_failed')
         self.refused_at = now
         if not self._wires:
             self._wake_all(exc)
--- a/monsoonproxy/logs.py
+++ b/monsoonproxy/logs.py
@@ -3,35 +3,40 @@
 Logs hold neither statement text nor values nor keys.
 """
 
+import json
+import os
 import sys
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
+from monsoonproxy.clock import Clock
+
 if TYPE_CHECKING:
-    from loguru import Logger
+    from loguru import Logger, Record
 
 _TEXT = (
     '{time:YYYY-MM-DDTHH:mm:ss.SSS!UTC}Z {level: <7} {extra[part]}: {message}'
 )
+#: Lines that a daemon may write per second on average, and at once. At 300
+#: bytes a line this is 30 KB/s, which one core writes in a few ms.
+_LINES_PER_S = 100
+_BURST = 300
+#: Bytes that wait for a reader of the output that is too slow.
+_MAX_PENDING = 256 * 1024
+_WARNING = 30
 
 
-def configure(
-    *,
-    level: str = 'INFO',
-    structured: bool = False,
-    to_output: bool = False,
-) -> None:
+def configure(*, level: str = 'INFO', structured: bool = False) -> None:
     """Send logs to standard error.
 
     :param level: Lowest level that is written.
     :param structured: Write one JSON object per line.
-    :param to_output: Send them to standard output instead.
     """
     logger.remove()
     logger.configure(extra={'part': 'main'})
     logger.add(
-        sys.stdout if to_output else sys.stderr,
+        sys.stderr,
         level=level,
         format=_TEXT,
         serialize=structured,
@@ -41,6 +46,26 @@
     )
 
 
+def configure_output(clock: Clock, *, level: str = 'INFO') -> None:
+    """Send logs to standard output, one JSON object per line.
+
+    Writing never blocks, and the volume is bounded: what does not fit is
+    dropped, and the number of dropped lines is written once there is room.
+
+    :param clock: Source of time.
+    :param level: Lowest level that is written.
+    """
+    logger.remove()
+    logger.configure(extra={'part': 'main'})
+    logger.add(
+        Output(sys.stdout.fileno(), clock),
+        level=level,
+        format=_compact,
+        backtrace=False,
+        diagnose=False,
+    )
+
+
 def log_for(part: str) -> 'Logger':
     """Return the logger of a part.
 
@@ -48,3 +73,94 @@
     :returns: A logger.
     """
     return logger.bind(part=part)
+
+
+class Output:
+    """Writes lines to a descriptor without blocking, at a bounded rate.
+
+    :param descriptor: The file descriptor.
+    :param clock: Source of time.
+    """
+
+    def __init__(self, descriptor: int, clock: Clock) -> None:
+        self.dropped = 0
+        self._descriptor = descriptor
+        self._clock = clock
+        self._pending = b''
+        self._credit: float = _BURST
+        self._filled_at = clock.now()
+        os.set_blocking(descriptor, False)
+
+    def __call__(self, message: Any) -> None:
+        """Write a line, or drop it.
+
+        :param message: A formatted message of ``loguru``.
+        """
+        if not self._has_credit(message.record['level'].no):
+            self.dropped += 1
+            return
+        line = message.encode()
+        if self.dropped:
+            note = {'part': 'log', 'event': 'lines dropped'}
+            note['count'] = str(self.dropped)
+            line = json.dumps(note).encode() + b'\n' + line
+            self.dropped = 0
+        if len(self._pending) + len(line) > _MAX_PENDING:
+            self.dropped += 1
+            return
+        self._pending += line
+        self._flush()
+
+    def _has_credit(self, level: int) -> bool:
+        now = self._clock.now()
+        earned = (now - self._filled_at) * _LINES_PER_S / 1000
+        self._filled_at = now
+        self._credit = min(_BURST, self._credit + earned)
+        # The last part of the credit is for warnings.
+        if self._credit < (1 if level >= _WARNING else _BURST / 4):
+            return False
+        self._credit -= 1
+        return True
+
+    def _flush(self) -> None:
+        while self._pending:
+            try:
+                written = os.write(self._descriptor, self._pending)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads the output any more; serving goes on.
+                self._pending = b''
+                return
+            self._pending = self._pending[written:]
+
+
+def _compact(record: 'Record') -> str:
+    """Return the format of one record: its fields as JSON."""
+    fields: dict[str, Any] = {
+        'time': record['time'].isoformat(timespec='milliseconds'),
+        'level': record['level'].name.lower(),
+        **record['extra'],
+        'event': record['message'],
+    }
+    if record['exception'] is not None:
+        fields['error'] = repr(record['exception'].value)
+        fields['trace'] = _trace(record['exception'].traceback)
+    text = json.dumps(fields, default=str)
+    return f'{_escaped(text)}\n'
+
+
+def _trace(traceback: Any) -> list[str]:
+    """Return file and line of the innermost frames."""
+    frames = []
+    while traceback is not None:
+        code = traceback.tb_frame.f_code
+        place = f'{os.path.basename(code.co_filename)}:{traceback.tb_lineno}'
+        frames.append(f'{place} {code.co_name}')
+        traceback = traceback.tb_next
+    return frames[-6:]
+
+
+def _escaped(text: str) -> str:
+    # The result is a format string of the library, with markup.
+    return text.replace('{', '{{').replace('}', '}}').replace('<', r'\<')
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -17,11 +17,13 @@
 from monsoonproxy.logs import log_for
 from monsoonproxy.neighbours import Neighbours
 from monsoonproxy.promotion import Promoter
-from monsoonproxy.queries import Answer, Query
+from monsoonproxy.models import Outcome
+from monsoonproxy.queries import Answer, Code, Query
 from monsoonproxy.routes import RouteTable
 from monsoonproxy.running import Runner
 from monsoonproxy.servers import Server, ServerList
 from monsoonproxy.stores import Changes, Documents, Store, Table
+from monsoonproxy.telemetry import Telemetry
 from monsoonproxy.supervisors import Restart, RestartRule, Supervisor
 
 _log = log_for('node')
@@ -39,6 +41,14 @@
 _DRAIN_PAUSE = 50
 #: Pause in ms before another try to register.
 _REGISTER_PAUSE = 500
+#: Time in ms between two lines with what was counted.
+_REPORT = Millis(5_000)
+_OUTCOMES = {
+    None: Outcome.ANSWERED,
+    Code.FAILED: Outcome.FAILED,
+    Code.IN_DOUBT: Outcome.UNKNOWN,
+    Code.TIMEOUT: Outcome.UNKNOWN,
+}
 #: A task that has nothing left to do may return.
 _ONCE = RestartRule(restart=Restart.TRANSIENT)
 
@@ -101,6 +111,7 @@
         self._store = store
         self._documents = documents
         self._clock = Clock()
+        self._telemetry = Telemetry(self._clock)
         self._servers = ServerList()
         self._runners: dict[str, Runner] = {}
         self._stopping = asyncio.Event()
@@ -142,6 +153,14 @@
         self, conversation: Conversation, query: Query, answer: Answer, took: int
     ) -> None:
         """Take in the end of a statement."""
+        route = self.table and self.table.routes.get(conversation.database)
+        if route:
+            self._telemetry.record(
+                route.service,
+                route.freshness.value,
+                _OUTCOMES.get(answer.code, Outcome.NOT_RUN),
+                Millis(took),
+            )
         if answer.code is not None:
             _log.info(
                 'request {} on {}: {} {} after {} ms',
@@ -153,8 +172,15 @@
             )
 
     def metrics_text(self) -> bytes:
-        """Return the metrics."""
-        return b''
+        """Return the metrics in the Prometheus text format."""
+        gauges = {
+            'callers': len(self._clients.connections),
+            'callers_busy': self._clients.busy,
+            'configuration_version': self.table.version if self.table else 0,
+            'daemons_alive': len(self._neighbours.alive(self._clock.now())),
+            'ready': int(self.ready),
+        }
+        return self._telemetry.text(gauges).encode()
 
     async def run(self) -> None:
         """Serve until SIGTERM, then shut down gracefully."""
@@ -170,6 +196,7 @@
         children.start_child('routes', self._routes_follower.run)
         children.start_child('servers', self._servers_follower.run)
         children.start_child('sweep', self._sweep)
+        children.start_child('report', self._report)
         _log.info('{} started', self._settings.name)
         await self._stopping.wait()
         await self._drain()
@@ -245,6 +272,13 @@
             for runner in self._runners.values():
                 self._promoter.look_for_leaving(runner.cluster)
 
+    async def _report(self) -> None:
+        while True:
+            await asyncio.sleep(seconds(_REPORT))
+            news = self._telemetry.news()
+            if news:
+                _log.bind(**news).info('Counted')
+
     # The operator's configuration.
 
     def _take_operator(self, changes: Changes, _whole: bool) -> None:
@@ -277,7 +311,11 @@
 
     def _start_service(self, name: str, rules) -> None:
         cluster = Cluster(
-            rules, self._dialect, self._settings.availability_zone, self._clock
+            rules,
+            self._dialect,
+            self._settings.availability_zone,
+            self._clock,
+            self._telemetry,
         )
         cluster.daemons = 15
         cluster.on_doubt = self._promoter.doubt
--- a/monsoonproxy/pinned.py
+++ b/monsoonproxy/pinned.py
@@ -197,6 +197,7 @@
             self._lease = lease
             return True
         code = answer.code or Code.FAILED
+        self._cluster.telemetry.count(f'begins_{code.name.lower()}')
         job.tried[lease.member.server.server_id] = code.value
         lease.clean = answer.state is TransactionState.IDLE
         self._cluster.release(lease)
@@ -246,8 +247,10 @@
                 self._cluster.led(lease, answer)
             return answer
         code = answer.code or Code.ABORTED
+        cluster = self._cluster
+        cluster.telemetry.count(f'transactions_{code.name.lower()}')
         if code is Code.READ_ONLY and not self._runs_read_only(job):
-            self._cluster.not_leading(member)
+            cluster.not_leading(member)
         self.failed = True
         if answer.state is TransactionState.OPEN or code in NOT_RUN:
             # The caller's transaction ends here; so does the server's.
@@ -286,6 +289,7 @@
                 self._cluster.led(lease, answer)
             return attrs.evolve(answer, state=TransactionState.IDLE)
         code = answer.code or Code.IN_DOUBT
+        self._cluster.telemetry.count(f'commits_{code.name.lower()}')
         if code is Code.READ_ONLY:
             self._cluster.not_leading(lease.member)
         if code in NOT_RUN or not self.wrote:
--- a/monsoonproxy/running.py
+++ b/monsoonproxy/running.py
@@ -27,6 +27,9 @@
 _BUSY_PAUSE = 15
 #: A sample older than this share of a read's bound is renewed ahead of need.
 _RENEWAL_SHARE = 0.4
+#: Time in ms for which a connection may owe an answer that nobody waits for
+#: any more. Opening another one would cost the backend server more.
+_LATE_ANSWER = 1_500
 #: Codes of a backend server which mean that a statement did not run there.
 NOT_RUN = frozenset(
     (
@@ -126,6 +129,8 @@
                 task = await self._next_attempt(job)
                 if task is not None:
                     attempts.add(task)
+                    if pending:
+                        self.cluster.telemetry.count('reads_hedged')
                 elif not pending:
                     lagging = 'lagging' in job.tried.values()
                     job.tried.clear()
@@ -155,7 +160,14 @@
                 job.tried[member.server.server_id] = str(exc)
                 await cluster.wait_change(min(_BUSY_PAUSE, self._left(job)))
                 continue
-            answer = await self._write_once(job, lease)
+            writing = self.spawn(self._write_once(job, lease))
+            done, _late = await asyncio.wait(
+                (writing,), timeout=seconds(1) * max(1, self._left(job))
+            )
+            if not done:
+                name = member.server.server_id
+                return self.failure(Code.IN_DOUBT, f'{name}: no answer in time')
+            answer = writing.result()
             if answer is not None:
                 return answer
         return self.failure(Code.BUSY, f'not written: {job.tried}')
@@ -294,7 +306,7 @@
                 await self.adopt(lease, job, self._left(job))
                 payload = self._dialect.query(job.request_id, job.text, floor)
                 (answer,) = await self.cluster.exchange(
-                    lease, payload, 1, self._left(job)
+                    lease, payload, 1, self._left(job) + _LATE_ANSWER
                 )
                 lease.clean = answer.state is TransactionState.IDLE
         except _UNREACHABLE as exc:
@@ -313,11 +325,14 @@
     ) -> Answer | None:
         now = self._clock.now()
         name = member.server.server_id
+        where = 'leader' if member is self.cluster.leader else 'replica'
         if answer.succeeded and answer.signed:
             took = lease.wire.answered_at - lease.wire.sent_at
             member.record.answered(took, answer.position, now)
+            self.cluster.telemetry.count(f'reads_at_{where}')
             return answer
         code = answer.code or Code.FAILED
+        self.cluster.telemetry.count(f'reads_{code.name.lower()}_at_{where}')
         job.tried[name] = code.value
         if code is Code.LAGGING and floor is not None:
             member.record.lagged(floor, now)
@@ -344,7 +359,7 @@
                     lease,
                     text + self._dialect.query(b'-', self._dialect.rollback()),
                     2,
-                    self._left(job),
+                    self._left(job) + _LATE_ANSWER,
                 )
                 lease.clean = _ended.state is TransactionState.IDLE
         except NotLeadingError:
@@ -370,7 +385,7 @@
             sent = True
             payload = self._dialect.query(job.request_id, job.text)
             (answer,) = await self.cluster.exchange(
-                lease, payload, 1, self._left(job)
+                lease, payload, 1, self._left(job) + _LATE_ANSWER
             )
             lease.clean = answer.state is TransactionState.IDLE
         except ConnectionLostError as exc:
@@ -394,6 +409,7 @@
             job.session.committed(answer.position)
             return answer
         code = answer.code or Code.IN_DOUBT
+        self.cluster.telemetry.count(f'writes_{code.name.lower()}')
         job.tried[member.server.server_id] = code.value
         if code is Code.READ_ONLY:
             self.cluster.not_leading(member)
--- /dev/null
+++ b/monsoonproxy/telemetry.py
@@ -0,0 +1,76 @@
+"""Counters and latency histograms of a daemon without libraries for HTTP."""
+
+import collections
+from collections.abc import Iterator
+
+from monsoonproxy.clock import Clock, Millis
+from monsoonproxy.metrics import Metrics
+from monsoonproxy.models import Outcome
+
+_PREFIX = 'monsoonproxy'
+
+
+class Telemetry:
+    """Counts what a daemon does.
+
+    :param clock: Source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._metrics = Metrics(clock)
+        self._counters: collections.Counter[str] = collections.Counter()
+        self._reported: collections.Counter[str] = collections.Counter()
+
+    def count(self, event: str, number: int = 1) -> None:
+        """Count an event.
+
+        :param event: Its name, in lower case with underscores.
+        :param number: How often it happened.
+        """
+        self._counters[event] += number
+
+    def record(
+        self, service: str, kind: str, outcome: Outcome, took: Millis
+    ) -> None:
+        """Count the end of a statement.
+
+        :param service: Name of the service.
+        :param kind: Kind of its route.
+        :param outcome: How it ended.
+        :param took: Time in ms that it took.
+        """
+        self._metrics.record(service, kind, outcome, took)
+
+    def news(self) -> dict[str, int]:
+        """Return what was counted since the last call.
+
+        :returns: Events that happened, with their number.
+        """
+        fresh = self._counters - self._reported
+        self._reported = self._counters.copy()
+        return dict(fresh)
+
+    def text(self, gauges: dict[str, int]) -> str:
+        """Return all metrics in the Prometheus text format.
+
+        :param gauges: Current values by name.
+        :returns: The text.
+        """
+        return ''.join(f'{line}\n' for line in self._lines(gauges))
+
+    def _lines(self, gauges: dict[str, int]) -> Iterator[str]:
+        for name, reading in sorted(gauges.items()):
+            yield f'# TYPE {_PREFIX}_{name} gauge'
+            yield f'{_PREFIX}_{name} {reading}'
+        yield f'# TYPE {_PREFIX}_events_total counter'
+        for event, number in sorted(self._counters.items()):
+            yield f'{_PREFIX}_events_total{{event="{event}"}} {number}'
+        yield f'# TYPE {_PREFIX}_statements_total counter'
+        for (service, kind, outcome), number in self._metrics.totals():
+            labels = f'service="{service}",kind="{kind}",outcome="{outcome}"'
+            yield f'{_PREFIX}_statements_total{{{labels}}} {number}'
+        yield f'# TYPE {_PREFIX}_latency_ms gauge'
+        for service, kind, quantile, latency in self._metrics.latencies():
+            share = quantile / 100
+            labels = f'service="{service}",kind="{kind}",quantile="{share}"'
+            yield f'{_PREFIX}_latency_ms{{{labels}}} {latency}'
