--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -155,7 +155,9 @@
                 self.clock,
                 self.telemetry,
             )
-            self.members[server.server_id] = Member(server, lane)
+            new = Member(server, lane)
+            lane.on_failure = lambda: self.doubt(new)
+            self.members[server.server_id] = new
             lane.warm_up()
             was_primary = False
         else:
@@ -344,6 +346,7 @@
         name = member.server.server_id
         if self.leadership.refused(name, self.clock.now()):
             _log.info('{} does not lead any more', name)
+        member.lane.interrupt()
         self._notify()
         self.search()
 
--- a/monsoonproxy/gossip.py
+++ b/monsoonproxy/gossip.py
@@ -132,14 +132,15 @@
 
     def _take_presence(self, presence: notices.Presence) -> None:
         now = self._clock.now()
-        known = self.neighbours.heard(presence, now)
+        is_new = self.neighbours.heard(presence, now)
+        known = self.neighbours.get(presence.sender)
         if known is None:
             return
         version, _document = self.document()
         if known.version > version:
             self._fetch(known)
-        elif known.version < version:
-            # It learns from the answer that there is something newer.
+        if is_new or known.version < version:
+            # It learns of this daemon, or that there is something newer.
             self.announce((known,))
 
     def _fetch(self, known: Neighbour) -> None:
--- a/monsoonproxy/lanes.py
+++ b/monsoonproxy/lanes.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import itertools
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from monsoonproxy import pools
@@ -51,8 +51,8 @@
         self.server = server
         self._telemetry = telemetry
         self.gone = False
-        #: Statements in work, of this daemon.
-        self.running = 0
+        #: Is told when no connection can be opened.
+        self.on_failure: Callable[[], None] = _ignore
         #: When a connection last answered, and when one was last refused.
         self.opened_at = Millis(0)
         self.refused_at = Millis(0)
@@ -131,6 +131,10 @@
         self._pool.closed(number)
         self._tick()
 
+    def interrupt(self) -> None:
+        """End all waits, since another backend server leads now."""
+        self._wake_all(LaneFullError(f'{self.server.address}: not waited for'))
+
     def close(self) -> None:
         """Close idle connections; leased ones are closed when released."""
         self.gone = True
@@ -257,5 +261,10 @@
             return
         self._telemetry.count('connections_failed')
         self.refused_at = now
+        self.on_failure()
         if not self._wires:
             self._wake_all(exc)
+
+
+def _ignore() -> None:
+    """Do nothing; stands in until somebody watches the lane."""
--- a/monsoonproxy/neighbours.py
+++ b/monsoonproxy/neighbours.py
@@ -61,27 +61,36 @@
         if name != self._own and name not in self._known:
             self._known[name] = Neighbour(name, address)
 
-    def heard(self, presence: Presence, now: Millis) -> Neighbour | None:
+    def get(self, name: str) -> Neighbour | None:
+        """Return a daemon.
+
+        :param name: Its name.
+        :returns: The daemon, if it is known.
+        """
+        return self._known.get(name)
+
+    def heard(self, presence: Presence, now: Millis) -> bool:
         """Take in a presence.
 
         :param presence: The notice.
         :param now: The time.
-        :returns: The daemon, or ``None`` if the notice is outdated.
+        :returns: Whether the daemon is new, or has started again.
         """
         if presence.sender == self._own:
-            return None
+            return False
         known = self._known.get(presence.sender)
         if known is None:
             known = Neighbour(presence.sender, presence.address)
             self._known[presence.sender] = known
         if presence.started < known.started:
-            return None
+            return False
+        is_new = known.heard_at is None or known.started < presence.started
         known.address = presence.address
         known.started = presence.started
         known.version = presence.version
         known.leaving = presence.leaving
         known.heard_at = now
-        return known
+        return is_new
 
     def alive(self, now: Millis) -> tuple[Neighbour, ...]:
         """Return the daemons that were heard lately.
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -173,14 +173,20 @@
 
     def metrics_text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
-        gauges = {
+        return self._telemetry.text(self.gauges()).encode()
+
+    def gauges(self) -> dict[str, int]:
+        """Return current values.
+
+        :returns: Values by name.
+        """
+        return {
             'callers': len(self._clients.connections),
             'callers_busy': self._clients.busy,
             'configuration_version': self.table.version if self.table else 0,
             'daemons_alive': len(self._neighbours.alive(self._clock.now())),
             'ready': int(self.ready),
         }
-        return self._telemetry.text(gauges).encode()
 
     async def run(self) -> None:
         """Serve until SIGTERM, then shut down gracefully."""
@@ -188,6 +194,12 @@
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self.start()
+        await self._stopping.wait()
+        await self.stop()
+
+    async def start(self) -> None:
+        """Start serving."""
         await self._clients.start(self._settings.listen_address)
         await self._gossip.start()
         children = self._supervisor
@@ -198,15 +210,23 @@
         children.start_child('sweep', self._sweep)
         children.start_child('report', self._report)
         _log.info('{} started', self._settings.name)
-        await self._stopping.wait()
+
+    async def stop(self) -> None:
+        """Finish what was begun, then end all tasks."""
+        self._stopping.set()
         await self._drain()
-        await children.stop()
+        await self.abort()
+        _log.info('{} stopped', self._settings.name)
+
+    async def abort(self) -> None:
+        """End all tasks and close all connections at once."""
+        self._stopping.set()
+        await self._supervisor.stop()
         self._clients.stop()
         for runner in self._runners.values():
             runner.cluster.close()
         self._gossip.close()
         self._store.close()
-        _log.info('{} stopped', self._settings.name)
 
     async def _register(self) -> None:
         """Tell the others where this daemon is, and learn where they are."""
--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -184,9 +184,7 @@
     ) -> bool:
         """Promote another backend server; return whether there is a leader."""
         service = cluster.rules.name
-        name = member.server.server_id
-        cluster.leadership.refused(name, self._clock.now())
-        cluster.search()
+        cluster.not_leading(member)
         await asyncio.sleep(seconds(1) * self._rank(service) * _RANK_DELAY)
         if self.tokens.newest(service) > token_before:
             # Another daemon has ordered a promotion meanwhile.
