--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -18,7 +18,7 @@
 from monsoonproxy.routes import ServiceRules
 from monsoonproxy.servers import Server
 from monsoonproxy.telemetry import Telemetry
-from monsoonproxy.wires import ServerWire
+from monsoonproxy.wires import ServerWire, open_wire
 
 _log = log_for('cluster')
 
@@ -227,6 +227,7 @@
         :returns: The lease.
         :raises ServerGoneError: If the address belongs to another one now.
         """
+        watch = self._watch(member)
         try:
             number, wire = await member.lane.acquire(limit)
         except ServerGoneError:
@@ -235,6 +236,9 @@
         except ConnectionLostError:
             self.doubt(member)
             raise
+        finally:
+            if watch is not None:
+                watch.cancel()
         member.running += 1
         return Lease(member, number, wire)
 
@@ -299,10 +303,7 @@
         :raises ConnectionLostError: If they don't come.
         """
         member = lease.member
-        watch = None
-        if member is self.leader:
-            loop = asyncio.get_running_loop()
-            watch = loop.call_later(seconds(SILENCE), self._overdue, member)
+        watch = self._watch(member)
         try:
             async with asyncio.timeout(seconds(max(1, int(limit)))):
                 answers = await lease.wire.exchange(payload, count)
@@ -358,6 +359,36 @@
         if member is self.leader:
             self.on_doubt(self, member.server.server_id)
 
+    async def responds(self, member: Member, limit: float) -> bool:
+        """Tell whether a backend server gives a sign of life.
+
+        If all connections are in use, another one is opened for it; that it
+        is refused for the number of connections is an answer too.
+
+        :param member: The backend server.
+        :param limit: Longest wait in ms.
+        :returns: Whether it answered.
+        """
+        if member.lane.has_idle:
+            return await self.probe(member, limit) is not None
+        self.telemetry.count('probes_by_opening')
+        try:
+            async with asyncio.timeout(seconds(max(1, int(limit)))):
+                wire, _answer = await open_wire(
+                    self.dialect, member.server, self.clock
+                )
+        except (ConnectionLostError, TimeoutError):
+            return False
+        wire.close()
+        return True
+
+    def _watch(self, member: Member) -> asyncio.TimerHandle | None:
+        """Check a leader that does not answer for some time."""
+        if member is not self.leader:
+            return None
+        loop = asyncio.get_running_loop()
+        return loop.call_later(seconds(SILENCE), self._overdue, member)
+
     def _overdue(self, member: Member) -> None:
         if member.silent_since is None:
             member.silent_since = self.clock.now()
--- a/monsoonproxy/conversations.py
+++ b/monsoonproxy/conversations.py
@@ -97,9 +97,14 @@
         :param query: The statement.
         :returns: The answer.
         """
-        if self.state is TransactionState.FAILED:
-            if query.verb not in {Verb.COMMIT, Verb.ROLLBACK}:
-                return self._fail(Code.MALFORMED, 'the transaction failed')
+        ends = query.verb in {Verb.COMMIT, Verb.ROLLBACK}
+        transaction = self.transaction
+        if transaction is not None and transaction.failed and not ends:
+            if transaction.reason:
+                # The daemon ended it, and the caller learns that only now.
+                reason, transaction.reason = transaction.reason, ''
+                return self._fail(Code.ABORTED, reason)
+            return self._fail(Code.MALFORMED, 'the transaction failed')
         return await _handlers.get(query.verb, _reject)(self, query)
 
     def end(self) -> None:
--- a/monsoonproxy/lanes.py
+++ b/monsoonproxy/lanes.py
@@ -81,6 +81,11 @@
         """
         return len(self._waiting)
 
+    @property
+    def has_idle(self) -> bool:
+        """Tell whether a connection can be leased at once."""
+        return self._pool.idle > 0
+
     def warm_up(self) -> None:
         """Open the connections that are kept ahead of need."""
         self._tick()
--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -145,8 +145,8 @@
         began = self._clock.now()
         refusals = 0
         while self._clock.now() - began < DETECTION:
-            answer = await cluster.probe(member, _SURVEY_LIMIT)
-            if answer is not None or member.answered_at > began:
+            responds = await cluster.responds(member, _SURVEY_LIMIT)
+            if responds or member.answered_at > began:
                 return False
             if member.lane.refused_at >= began:
                 refusals += 1
@@ -359,7 +359,7 @@
             return False
         if self._clock.now() - member.answered_at < _PROBE_PAUSE:
             return True
-        return await cluster.probe(member, _SURVEY_LIMIT) is not None
+        return await cluster.responds(member, _SURVEY_LIMIT)
 
     def _take_opinion(self, opinion: notices.Opinion, _address: str) -> None:
         tally = self._tallies.get(opinion.number)
