--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -10,6 +10,7 @@
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.dialects import Dialect
 from monsoonproxy.exceptions import ConnectionLostError
+from monsoonproxy.gates import Gate
 from monsoonproxy.lanes import Lane, LaneFullError, ServerGoneError
 from monsoonproxy.leadership import Leadership
 from monsoonproxy.logs import log_for
@@ -27,6 +28,10 @@
 #: Time in ms without an answer after which a leader is checked. Checks are
 #: cheap, since they need no slot.
 SILENCE = Millis(120)
+#: Time in ms without an answer after which a connection is opened just to see
+#: whether a backend server is alive. Opening takes 12 to 27 ms of a slot, too
+#: much for one that is only busy.
+_OPEN_TO_PROBE = Millis(350)
 #: Longest time in ms in which a leader is replaced: detection, orders that
 #: are sent again, and 1 s to carry one out. Later, callers are told at once
 #: that nothing runs here.
@@ -36,7 +41,7 @@
 #: Idle connections beyond the first are closed after this time in ms. After a
 #: loss of power the databases count the old connections for 3 s, so about
 #: half of the limit has to stay free for those who come back.
-_IDLE_CONNECTION = Millis(700)
+_IDLE_CONNECTION = Millis(1_500)
 #: Longest pause in ms between attempts to open a connection.
 _OPEN_BACKOFF = Millis(200)
 
@@ -52,7 +57,7 @@
     :param server: Its entry.
     :param lane: The connections.
     :param record: Measurements.
-    :param running: Own statements in work on it.
+    :param gate: Limits the own statements in work on it.
     :param answered_at: When it last answered.
     :param silent_since: Since when an answer is overdue, or ``None``.
     """
@@ -60,7 +65,7 @@
     server: Server
     lane: Lane
     record: selection.Record = attrs.Factory(selection.Record)
-    running: int = 0
+    gate: Gate = attrs.Factory(Gate)
     answered_at: Millis = Millis(0)
     silent_since: Millis | None = None
 
@@ -195,7 +200,7 @@
             yield selection.Option(
                 name,
                 member.record,
-                member.running,
+                member.gate.running + member.gate.waiting,
                 member.server.slots,
                 is_near=member.server.availability_zone == self._zone,
                 is_leader=member is leader,
@@ -239,7 +244,6 @@
         finally:
             if watch is not None:
                 watch.cancel()
-        member.running += 1
         return Lease(member, number, wire)
 
     def release(self, lease: Lease) -> None:
@@ -247,12 +251,39 @@
 
         :param lease: The lease.
         """
-        lease.member.running -= 1
         if lease.clean:
             lease.member.lane.release(lease.number, clean=True)
         else:
             lease.member.lane.forget(lease.number)
 
+    @contextlib.asynccontextmanager
+    async def place(self, member: Member, priority: int, limit: float):
+        """Wait until a statement that needs a slot may be sent.
+
+        :param member: The backend server.
+        :param priority: Priority of the route; 0 is the highest.
+        :param limit: Longest wait in ms.
+        :yields: The limit, which is told how the statement ended.
+        :raises GateClosedError: If it may not be sent in time.
+        """
+        await member.gate.enter(priority, limit)
+        try:
+            yield member.gate.limit
+        finally:
+            member.gate.leave()
+
+    def judge_load(self, member: Member, answer: Answer) -> None:
+        """Take in whether a statement found a slot.
+
+        :param member: The backend server.
+        :param answer: The answer.
+        """
+        gate = member.gate
+        if answer.code is Code.BUSY:
+            gate.limit.turned_away(self.clock.now())
+        else:
+            gate.limit.served(gate.running)
+
     async def begin(self, lease: Lease, limit: float) -> Answer:
         """Begin a plain transaction, which only a leader accepts.
 
@@ -348,6 +379,7 @@
         if self.leadership.refused(name, self.clock.now()):
             _log.info('{} does not lead any more', name)
         member.lane.interrupt()
+        member.gate.interrupt()
         self._notify()
         self.search()
 
@@ -371,6 +403,9 @@
         """
         if member.lane.has_idle:
             return await self.probe(member, limit) is not None
+        if self.clock.now() - member.answered_at < _OPEN_TO_PROBE:
+            await asyncio.sleep(seconds(_SEARCH_PAUSE))
+            return True
         self.telemetry.count('probes_by_opening')
         try:
             async with asyncio.timeout(seconds(max(1, int(limit)))):
@@ -382,16 +417,19 @@
         wire.close()
         return True
 
-    def _watch(self, member: Member) -> asyncio.TimerHandle | None:
-        """Check a leader that does not answer for some time."""
+    def _watch(self, member: Member) -> '_Watch | None':
+        """Check a leader again and again while it does not answer."""
         if member is not self.leader:
             return None
-        loop = asyncio.get_running_loop()
-        return loop.call_later(seconds(SILENCE), self._overdue, member)
+        return _Watch(lambda: self._overdue(member))
 
     def _overdue(self, member: Member) -> None:
+        now = self.clock.now()
+        if now - member.answered_at < SILENCE:
+            # It answers others; this one only takes long.
+            return
         if member.silent_since is None:
-            member.silent_since = self.clock.now()
+            member.silent_since = now
         self.doubt(member)
 
     async def wait_leader(self, limit: float) -> Member | None:
@@ -536,3 +574,25 @@
 def _ignore(_cluster: Cluster, _server_id: str) -> None:
     """Do nothing; stands in until somebody watches the leader."""
 
+
+class _Watch:
+    """Calls something each :data:`SILENCE` until it is cancelled.
+
+    :param call: What to call.
+    """
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        self._call = call
+        self._arm()
+
+    def cancel(self) -> None:
+        """Stop."""
+        self._timer.cancel()
+
+    def _arm(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(seconds(SILENCE), self._fire)
+
+    def _fire(self) -> None:
+        self._arm()
+        self._call()
--- /dev/null
+++ b/monsoonproxy/gates.py
@@ -0,0 +1,137 @@
+"""How many statements a daemon has in work at one backend server.
+
+The daemons share a backend server's few slots without seeing each other. A
+backend server that turns statements away is given fewer at once; the rest
+waits here, the most urgent first.
+"""
+
+import asyncio
+import heapq
+import itertools
+
+import attrs
+
+from monsoonproxy.clock import Millis, seconds
+from monsoonproxy.exceptions import MonsoonError
+
+#: Statements at once before anything is known, and at most. A database of two
+#: slots queues 16 more before it turns statements away.
+_INITIAL = 4.0
+_MOST = 12.0
+#: Factor by which the number falls when a statement is turned away, and the
+#: least time in ms between two falls: one full queue turns away many.
+_DECREASE = 0.6
+_DECREASE_PAUSE = 60
+#: Growth per round of answers while all places are in use.
+_INCREASE = 0.5
+
+
+class GateClosedError(MonsoonError):
+    """No place became free in time."""
+
+
+@attrs.define(order=True)
+class _Waiting:
+    """A statement that waits; the least one goes first."""
+
+    priority: int
+    number: int
+    place: 'asyncio.Future[None]' = attrs.field(order=False)
+
+
+class Limit:
+    """Additive increase, multiplicative decrease of the statements at once."""
+
+    def __init__(self) -> None:
+        self.current = _INITIAL
+        self._decreased_at = -_DECREASE_PAUSE
+
+    def served(self, running: int) -> None:
+        """Take in an answer.
+
+        :param running: Statements in work, with this one.
+        """
+        if running >= int(self.current):
+            grown = self.current + _INCREASE / self.current
+            self.current = min(_MOST, grown)
+
+    def turned_away(self, now: Millis) -> None:
+        """Take in that a statement was turned away.
+
+        :param now: The time.
+        """
+        if now - self._decreased_at >= _DECREASE_PAUSE:
+            self._decreased_at = now
+            self.current = max(1, self.current * _DECREASE)
+
+
+class Gate:
+    """The places of one daemon at one backend server."""
+
+    def __init__(self) -> None:
+        self.limit = Limit()
+        self.running = 0
+        self._numbers = itertools.count()
+        self._waiting: list[_Waiting] = []
+
+    @property
+    def waiting(self) -> int:
+        """Return how many statements wait."""
+        return len(self._waiting)
+
+    async def enter(self, priority: int, limit: float) -> None:
+        """Wait for a place.
+
+        :param priority: 0 is the highest.
+        :param limit: Longest wait in ms.
+        :raises GateClosedError: If none becomes free in time.
+        """
+        if self.running < int(self.limit.current) and not self._waiting:
+            self.running += 1
+            return
+        place = asyncio.get_running_loop().create_future()
+        waiting = _Waiting(priority, next(self._numbers), place)
+        heapq.heappush(self._waiting, waiting)
+        try:
+            async with asyncio.timeout(seconds(max(1, int(limit)))):
+                await place
+        except TimeoutError:
+            if place.done() and not place.cancelled():
+                # The place came at the same moment.
+                return
+            self._forget(waiting)
+            raise GateClosedError('no place in time') from None
+        except asyncio.CancelledError:
+            if place.done() and not place.cancelled():
+                self.leave()
+            else:
+                self._forget(waiting)
+            raise
+
+    def pass_by(self) -> None:
+        """Take a place without waiting, for an open transaction."""
+        self.running += 1
+
+    def leave(self) -> None:
+        """Give a place back."""
+        self.running -= 1
+        self._admit()
+
+    def interrupt(self) -> None:
+        """End all waits."""
+        waiting, self._waiting = self._waiting, []
+        for entry in waiting:
+            if not entry.place.done():
+                entry.place.set_exception(GateClosedError('not waited for'))
+
+    def _admit(self) -> None:
+        while self._waiting and self.running < int(self.limit.current):
+            entry = heapq.heappop(self._waiting)
+            if not entry.place.done():
+                self.running += 1
+                entry.place.set_result(None)
+
+    def _forget(self, waiting: _Waiting) -> None:
+        if waiting in self._waiting:
+            self._waiting.remove(waiting)
+            heapq.heapify(self._waiting)
--- a/monsoonproxy/pinned.py
+++ b/monsoonproxy/pinned.py
@@ -218,9 +218,7 @@
             while True:
                 await self.runner.adopt(lease, job, self._left(job))
                 payload = cluster.dialect.query(job.request_id, job.text)
-                (answer,) = await cluster.exchange(
-                    lease, payload, 1, self._left(job)
-                )
+                answer = await self._exchange(job, payload)
                 retried = answer.code in NOT_RUN and self._may_repeat(answer)
                 if not retried or self._left(job) < _BUSY_PAUSE:
                     return self._judge(job, lease, answer)
@@ -232,6 +230,20 @@
             self._finish(clean=False)
             return self._broken(Code.ABORTED, str(exc))
 
+    async def _exchange(self, job: Job, payload: bytes) -> Answer:
+        """Send a statement; it does not wait behind new ones."""
+        assert self._lease is not None
+        member = self._lease.member
+        member.gate.pass_by()
+        try:
+            (answer,) = await self._cluster.exchange(
+                self._lease, payload, 1, self._left(job)
+            )
+        finally:
+            member.gate.leave()
+        self._cluster.judge_load(member, answer)
+        return answer
+
     def _may_repeat(self, answer: Answer) -> bool:
         still_open = answer.state is TransactionState.OPEN
         return still_open and answer.code in {Code.BUSY, Code.UNKNOWN_STATEMENT}
@@ -268,9 +280,7 @@
         try:
             while True:
                 payload = cluster.dialect.query(job.request_id, job.text)
-                (answer,) = await cluster.exchange(
-                    lease, payload, 1, self._left(job)
-                )
+                answer = await self._exchange(job, payload)
                 busy = answer.code is Code.BUSY
                 if not busy or self._left(job) < _BUSY_PAUSE:
                     return self._judge_commit(job, lease, answer)
--- a/monsoonproxy/running.py
+++ b/monsoonproxy/running.py
@@ -9,6 +9,7 @@
 from monsoonproxy.clock import Millis, seconds
 from monsoonproxy.clusters import Cluster, Lease, Member, NotLeadingError
 from monsoonproxy.exceptions import ConnectionLostError
+from monsoonproxy.gates import GateClosedError
 from monsoonproxy.lanes import LaneFullError, ServerGoneError
 from monsoonproxy.models import Position
 from monsoonproxy.queries import Answer, Code, TransactionState
@@ -41,7 +42,16 @@
         Code.UNKNOWN_STATEMENT,
     )
 )
-_UNREACHABLE = (ConnectionLostError, LaneFullError, ServerGoneError)
+_UNREACHABLE = (
+    ConnectionLostError,
+    GateClosedError,
+    LaneFullError,
+    ServerGoneError,
+)
+#: A read at the leader is sent again only after this time in ms, and only if
+#: the leader answered others since: the answer is probably lost then. An
+#: overloaded leader would get even more to do.
+_LEADER_HEDGE = 300
 
 
 @attrs.define
@@ -84,6 +94,8 @@
         runs; the name is empty if it runs none.
     :param tried: Backend servers that it was offered to, and how that ended.
     :param refusals: How often nothing could be done.
+    :param sent: Whether it may have run.
+    :param given_up: Whether the caller has its answer already.
     """
 
     request_id: bytes
@@ -95,6 +107,13 @@
     prepared: tuple[bytes, bytes, bool] = (b'', b'', True)
     tried: dict[str, str] = attrs.Factory(dict)
     refusals: int = 0
+    sent: bool = False
+    given_up: bool = False
+
+    @property
+    def priority(self) -> int:
+        """Return the priority of the route; 0 is the highest."""
+        return self.route.priority
 
     @property
     def deadline(self) -> Millis:
@@ -125,7 +144,7 @@
         lagging = False
         while self._left(job) > 0 and not self._is_hopeless(job):
             pending = {task for task in attempts if not task.done()}
-            if len(pending) < _MOST_ATTEMPTS:
+            if self._may_send_again(job, len(pending)):
                 task = await self._next_attempt(job)
                 if task is not None:
                     attempts.add(task)
@@ -154,19 +173,15 @@
             member = await cluster.wait_leader(self._left(job))
             if member is None or cluster.is_hopeless:
                 break
-            try:
-                lease = await cluster.acquire(member, self._left(job))
-            except _UNREACHABLE as exc:
-                job.tried[member.server.server_id] = str(exc)
-                await cluster.wait_change(min(_BUSY_PAUSE, self._left(job)))
-                continue
-            writing = self.spawn(self._write_once(job, lease))
+            writing = self.spawn(self._write_once(job, member))
             done, _late = await asyncio.wait(
                 (writing,), timeout=seconds(1) * max(1, self._left(job))
             )
             if not done:
                 name = member.server.server_id
-                return self.failure(Code.IN_DOUBT, f'{name}: no answer in time')
+                code = Code.IN_DOUBT if job.sent else Code.BUSY
+                job.given_up = True
+                return self.failure(code, f'{name}: no answer in time')
             answer = writing.result()
             if answer is not None:
                 return answer
@@ -225,6 +240,14 @@
             return None if floor is None else max(floor, own)
         return floor
 
+    def _may_send_again(self, job: Job, pending: int) -> bool:
+        if job.route.freshness is not Freshness.PRIMARY or not pending:
+            return pending < _MOST_ATTEMPTS
+        leader = self.cluster.leader
+        waited = self._clock.now() - job.arrived
+        overtaken = leader and leader.answered_at - job.arrived > _LEADER_HEDGE
+        return pending < 2 and waited > _LEADER_HEDGE and bool(overtaken)
+
     def _is_hopeless(self, job: Job) -> bool:
         """Tell whether only other daemons can serve a read now."""
         needs_leader = job.route.freshness is Freshness.PRIMARY
@@ -301,14 +324,22 @@
             server is to be tried.
         """
         name = member.server.server_id
+        cluster = self.cluster
         try:
-            async with self.cluster.leased(member, self._left(job)) as lease:
+            async with (
+                cluster.place(member, job.priority, self._left(job)),
+                cluster.leased(member, self._left(job)) as lease,
+            ):
                 await self.adopt(lease, job, self._left(job))
                 payload = self._dialect.query(job.request_id, job.text, floor)
-                (answer,) = await self.cluster.exchange(
+                (answer,) = await cluster.exchange(
                     lease, payload, 1, self._left(job) + _LATE_ANSWER
                 )
                 lease.clean = answer.state is TransactionState.IDLE
+                cluster.judge_load(member, answer)
+        except GateClosedError as exc:
+            job.tried[name] = str(exc)
+            return None
         except _UNREACHABLE as exc:
             member.record.failed(self._clock.now(), lost=True)
             job.tried[name] = str(exc)
@@ -348,7 +379,10 @@
         name = member.server.server_id
         cluster = self.cluster
         try:
-            async with cluster.leased(member, self._left(job)) as lease:
+            async with (
+                cluster.place(member, job.priority, self._left(job)),
+                cluster.leased(member, self._left(job)) as lease,
+            ):
                 await self.adopt(lease, job, self._left(job))
                 begun = await cluster.begin(lease, self._left(job))
                 if not begun.succeeded:
@@ -362,8 +396,9 @@
                     self._left(job) + _LATE_ANSWER,
                 )
                 lease.clean = _ended.state is TransactionState.IDLE
-        except NotLeadingError:
-            job.tried[name] = 'not leading'
+                cluster.judge_load(member, answer)
+        except (NotLeadingError, GateClosedError) as exc:
+            job.tried[name] = str(exc) or 'not leading'
             return None
         except _UNREACHABLE as exc:
             member.record.failed(self._clock.now(), lost=True)
@@ -376,25 +411,36 @@
             answer = attrs.evolve(answer, state=TransactionState.IDLE)
         return self._judge(job, member, answer, lease, None)
 
-    async def _write_once(self, job: Job, lease: Lease) -> Answer | None:
-        member = lease.member
-        name = member.server.server_id
-        sent = False
+    async def _write_once(self, job: Job, member: Member) -> Answer | None:
+        """Write at the leader.
+
+        :returns: The answer for the caller, or ``None`` if the write did not
+            run and may be tried again.
+        """
+        cluster = self.cluster
         try:
-            await self.adopt(lease, job, self._left(job))
-            sent = True
-            payload = self._dialect.query(job.request_id, job.text)
-            (answer,) = await self.cluster.exchange(
-                lease, payload, 1, self._left(job) + _LATE_ANSWER
-            )
-            lease.clean = answer.state is TransactionState.IDLE
-        except ConnectionLostError as exc:
-            job.tried[name] = str(exc)
-            if sent:
+            async with (
+                cluster.place(member, job.priority, self._left(job)),
+                cluster.leased(member, self._left(job)) as lease,
+            ):
+                await self.adopt(lease, job, self._left(job))
+                if job.given_up:
+                    # The caller was told that it did not run.
+                    lease.clean = True
+                    return None
+                job.sent = True
+                payload = self._dialect.query(job.request_id, job.text)
+                (answer,) = await cluster.exchange(
+                    lease, payload, 1, self._left(job) + _LATE_ANSWER
+                )
+                lease.clean = answer.state is TransactionState.IDLE
+                cluster.judge_load(member, answer)
+        except _UNREACHABLE as exc:
+            job.tried[member.server.server_id] = str(exc)
+            if job.sent:
                 return self.failure(Code.IN_DOUBT, str(exc))
+            await cluster.wait_change(min(_BUSY_PAUSE, self._left(job)))
             return None
-        finally:
-            self.cluster.release(lease)
         return await self._judge_write(job, lease, answer)
 
     async def _judge_write(
@@ -411,6 +457,7 @@
         code = answer.code or Code.IN_DOUBT
         self.cluster.telemetry.count(f'writes_{code.name.lower()}')
         job.tried[member.server.server_id] = code.value
+        job.sent = code not in NOT_RUN
         if code is Code.READ_ONLY:
             self.cluster.not_leading(member)
             return None
