--- /dev/null
+++ b/monsoonproxy/catalog.py
@@ -0,0 +1,175 @@
+"""What a daemon knows of services, routes and backend servers."""
+
+from collections.abc import Callable
+
+from monsoonproxy.clock import Millis
+from monsoonproxy.clusters import Cluster, Surroundings
+from monsoonproxy.exceptions import ConfigurationError
+from monsoonproxy.leaders import Leaders
+from monsoonproxy.logs import log_for
+from monsoonproxy.plans import Plan, make_plan
+from monsoonproxy.routes import RouteTable, ServiceRules
+from monsoonproxy.running import Runner
+from monsoonproxy.servers import Server, ServerList
+from monsoonproxy.stores import Changes, Documents
+
+_log = log_for('catalog')
+
+#: Time in ms after a failure of the store in which a removed entry may only
+#: have lapsed. Entries lapse within three intervals of 1.2 s.
+_LAPSE_WINDOW = Millis(6_000)
+
+
+class Catalog:
+    """Takes the operator's configuration and the backend servers' entries.
+
+    :param documents: Decodes them.
+    :param shared: What the services share.
+    """
+
+    def __init__(self, documents: Documents, shared: Surroundings) -> None:
+        self.table: RouteTable | None = None
+        self.runners: dict[str, Runner] = {}
+        #: Is told of a new configuration.
+        self.on_routes: Callable[[], None] = _do_nothing
+        #: Is told of a leader that may have failed.
+        self.on_doubt: Callable[[Cluster, str], None] = _ignore
+        self._documents = documents
+        self._shared = shared
+        self._servers = ServerList()
+        self._plans: dict[str, Plan] = {}
+
+    def runner(self, service: str) -> Runner | None:
+        """Return the runner of a service.
+
+        :param service: Its name.
+        :returns: The runner, if the service is configured.
+        """
+        return self.runners.get(service)
+
+    def document(self) -> tuple[int, bytes]:
+        """Return version and document of the configuration in force.
+
+        :returns: Version 0 if there is none yet.
+        """
+        if self.table is None:
+            return 0, b''
+        return self.table.version, self.table.document
+
+    def take_operator(self, changes: Changes, _whole: bool) -> None:
+        """Take in the operator's row.
+
+        :param changes: What the store says.
+        """
+        for row in changes.rows:
+            if row.content is not None:
+                self.take_routes(row.content)
+
+    def take_routes(self, content: bytes) -> None:
+        """Put a configuration in force, unless a newer one is.
+
+        :param content: The document.
+        """
+        try:
+            table = self._documents.routes(content)
+        except ConfigurationError as exc:
+            _log.error('Configuration ignored: {}', exc)
+            return
+        if self.table is not None and table.version <= self.table.version:
+            return
+        self.table = table
+        _log.info('Configuration {} in force', table.version)
+        for name, rules in table.services.items():
+            runner = self.runners.get(name)
+            if runner is None:
+                self._start(name, rules)
+            else:
+                runner.cluster.rules = rules
+        self.on_routes()
+
+    def take_servers(
+        self, changes: Changes, *, whole: bool, failed_at: Millis
+    ) -> None:
+        """Take in entries of backend servers.
+
+        :param changes: What the store says.
+        :param whole: Whether these are all entries.
+        :param failed_at: When the store last failed, or 0.
+        """
+        now = self._shared.clock.now()
+        was_away = failed_at > 0 and now - failed_at < _LAPSE_WINDOW
+        listed = []
+        for row in changes.rows:
+            if row.content is None:
+                self._lose(row.key, now, was_away=was_away)
+                continue
+            server = self._decode(row.key, row.content)
+            if server is not None:
+                listed.append(server)
+                self._servers.put(server)
+                self._use(server)
+        if whole:
+            gone = self._servers.replace_all(listed, now, was_away=was_away)
+            for missing in gone:
+                self._drop(missing)
+
+    def expire(self) -> None:
+        """Drop entries that lapsed and did not come back."""
+        for server in self._servers.expire(self._shared.clock.now()):
+            self._drop(server)
+
+    def replan(self, daemons: int) -> None:
+        """Decide again how connections are shared.
+
+        :param daemons: Number of daemons, with this one.
+        """
+        for name, runner in self.runners.items():
+            cluster = runner.cluster
+            before = self._plans.get(name, Plan())
+            plan = make_plan(cluster.rules.connection_limit, daemons, before)
+            if plan != before:
+                _log.info('{}: {} for {} daemons', name, plan, daemons)
+            self._plans[name] = plan
+            cluster.replan(plan)
+
+    def _start(self, name: str, rules: ServiceRules) -> None:
+        cluster = Cluster(rules, self._shared)
+        cluster.on_doubt = self.on_doubt
+        self.runners[name] = Runner(cluster, Leaders(cluster))
+        for server in self._servers.of(name):
+            cluster.put(server)
+
+    def _decode(self, key: str, content: bytes) -> Server | None:
+        try:
+            return self._documents.server(key, content)
+        except ConfigurationError as exc:
+            # It names no server to use; the others hold.
+            _log.warning('Entry {} ignored: {}', key, exc)
+            return None
+
+    def _lose(self, name: str, now: Millis, *, was_away: bool) -> None:
+        if was_away:
+            self._servers.lapse(name, now)
+            return
+        server = self._servers.remove(name)
+        if server is not None:
+            self._drop(server)
+
+    def _use(self, server: Server) -> None:
+        runner = self.runners.get(server.service)
+        if runner is not None:
+            runner.cluster.put(server)
+
+    def _drop(self, server: Server) -> None:
+        _log.info('{} of {} is gone', server.server_id, server.service)
+        runner = self.runners.get(server.service)
+        if runner is not None:
+            runner.cluster.remove(server.server_id)
+
+
+def _do_nothing() -> None:
+    """Do nothing; stands in until somebody wants to know."""
+
+
+def _ignore(_cluster: Cluster, _server_id: str) -> None:
+    """Do nothing; stands in until somebody watches leaders."""
--- a/monsoonproxy/clients.py
+++ b/monsoonproxy/clients.py
@@ -5,17 +5,18 @@
 import itertools
 from typing import Any, Protocol
 
-from monsoonproxy import dialects
 from monsoonproxy.clock import Clock, Millis
-from monsoonproxy.conversations import (
-    Conversation,
-    Services,
-    StatementNames,
+from monsoonproxy.conversations import Conversation, Services
+from monsoonproxy.dialects import (
+    CallerMessage,
+    Closing,
+    Dialect,
+    Garbage,
+    Opening,
 )
-from monsoonproxy.dialects import Dialect
+from monsoonproxy.jobs import Session
 from monsoonproxy.logs import log_for
 from monsoonproxy.queries import Answer, Code, Query, TransactionState
-from monsoonproxy.running import Session
 from monsoonproxy.wires import reveal_silence
 
 _log = log_for('client')
@@ -28,7 +29,11 @@
     """Is told how statements end."""
 
     def ended(
-        self, conversation: Conversation, query: Query, answer: Answer, took: int
+        self,
+        conversation: Conversation,
+        query: Query,
+        answer: Answer,
+        took: int,
     ) -> None:
         """Take in the end of a statement."""
 
@@ -55,7 +60,6 @@
         self.dialect = dialect
         self.clock = clock
         self.watcher = watcher
-        self.names = StatementNames()
         self.numbers = itertools.count(1)
         self.connections: set[ClientConnection] = set()
         self.closing = False
@@ -114,9 +118,7 @@
     @property
     def busy(self) -> int:
         """Return how many connections have a request or a transaction."""
-        return sum(
-            not connection.is_idle for connection in self.connections
-        )
+        return sum(not connection.is_idle for connection in self.connections)
 
 
 class ClientConnection(asyncio.Protocol):
@@ -128,7 +130,7 @@
     def __init__(self, clients: Clients) -> None:
         self._clients = clients
         self._reader = clients.dialect.caller_reader()
-        self._waiting: collections.deque[dialects.CallerMessage]
+        self._waiting: collections.deque[CallerMessage]
         self._waiting = collections.deque()
         self._transport: Any = None
         self._task: asyncio.Task[None] | None = None
@@ -234,18 +236,18 @@
         if self._clients.closing:
             self.close_if_idle()
 
-    async def _handle(self, message: dialects.CallerMessage) -> None:
+    async def _handle(self, message: CallerMessage) -> None:
         if isinstance(message, Query):
             await self._answer(message)
-        elif isinstance(message, dialects.Opening):
+        elif isinstance(message, Opening):
             self._open(message)
-        elif isinstance(message, dialects.Closing):
+        elif isinstance(message, Closing):
             self.close()
             self._gone = True
         else:
             self._complain(message)
 
-    def _open(self, message: dialects.Opening) -> None:
+    def _open(self, message: Opening) -> None:
         clients = self._clients
         table = clients.services.table
         if table is None:
@@ -259,7 +261,6 @@
             Session(next(clients.numbers)),
             clients.services,
             clients.dialect,
-            clients.names,
             clients.clock,
         )
         self._write(Answer(b'', TransactionState.IDLE))
@@ -275,7 +276,7 @@
         self._clients.watcher.ended(conversation, query, answer, took)
         self._write(answer)
 
-    def _complain(self, message: dialects.Garbage) -> None:
+    def _complain(self, message: Garbage) -> None:
         if self.conversation is None or message.fatal:
             self._refuse(message.code, message.reason)
             return
--- a/monsoonproxy/commands.py
+++ b/monsoonproxy/commands.py
@@ -6,8 +6,15 @@
 import attrs
 from mysql_mimic.types import Commands
 
-from monsoonproxy import answers, binaries, bindings, marks, packets
-from monsoonproxy import statements, variables
+from monsoonproxy import (
+    answers,
+    binaries,
+    bindings,
+    marks,
+    packets,
+    statements,
+    variables,
+)
 from monsoonproxy.exceptions import StatementError
 from monsoonproxy.models import StatementKind
 from monsoonproxy.streams import ConnectionGoneError, PacketError
--- a/monsoonproxy/connections.py
+++ b/monsoonproxy/connections.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any
 
-
 from monsoonproxy import commands, packets
 from monsoonproxy.callers import Caller
 from monsoonproxy.exceptions import (
--- a/monsoonproxy/conversations.py
+++ b/monsoonproxy/conversations.py
@@ -1,20 +1,23 @@
 """A caller's session over a dialect, statement by statement."""
 
-import asyncio
-from collections.abc import Callable, Mapping
-from typing import Protocol
+from collections.abc import Awaitable, Callable
+from typing import Protocol, TypeAlias
 
-import attrs
-
-from monsoonproxy.clock import Clock, Millis
-from monsoonproxy.pinned import Transaction
+from monsoonproxy import reading, writing
+from monsoonproxy.clock import Clock
 from monsoonproxy.dialects import Dialect
-from monsoonproxy.queries import Answer, Code, Query, TransactionState, Verb
+from monsoonproxy.jobs import Job, Session
+from monsoonproxy.pinned import Transaction
+from monsoonproxy.queries import (
+    Answer,
+    Code,
+    Prepared,
+    Query,
+    TransactionState,
+    Verb,
+)
 from monsoonproxy.routes import Route, RouteTable
-from monsoonproxy.running import Job, Runner, Session
-
-#: Shapes of prepared statements that a daemon names; older ones are renamed.
-_MAX_SHAPES = 10_000
+from monsoonproxy.running import Runner
 
 
 class Services(Protocol):
@@ -26,32 +29,6 @@
         """Return the runner of a service."""
 
 
-class StatementNames:
-    """Names of prepared statements on connections to backend servers.
-
-    Callers' names collide, so a daemon names each shape itself.
-    """
-
-    def __init__(self) -> None:
-        self._names: dict[tuple[bool, bytes], bytes] = {}
-        self._count = 0
-
-    def name(self, shape: tuple[bool, bytes]) -> bytes:
-        """Return the name of a shape.
-
-        :param shape: Whether it reads, and the shape.
-        :returns: The name, unique to the shape for the life of the process.
-        """
-        name = self._names.get(shape)
-        if name is None:
-            if len(self._names) >= _MAX_SHAPES:
-                self._names.pop(next(iter(self._names)))
-            self._count += 1
-            name = b'p%d' % self._count
-            self._names[shape] = name
-        return name
-
-
 class Conversation:
     """Runs the statements of one session, one after another.
 
@@ -59,7 +36,6 @@
     :param session: The session.
     :param services: The daemon's configuration and services.
     :param dialect: The protocol.
-    :param names: Names of prepared statements.
     :param clock: Source of time.
     """
 
@@ -69,7 +45,6 @@
         session: Session,
         services: Services,
         dialect: Dialect,
-        names: StatementNames,
         clock: Clock,
     ) -> None:
         self.database = database
@@ -79,7 +54,6 @@
         self._route: Route | None = None
         self._services = services
         self._dialect = dialect
-        self._names = names
         self._clock = clock
 
     @property
@@ -105,7 +79,7 @@
                 reason, transaction.reason = transaction.reason, ''
                 return self._fail(Code.ABORTED, reason)
             return self._fail(Code.MALFORMED, 'the transaction failed')
-        return await _handlers.get(query.verb, _reject)(self, query)
+        return await _handlers[query.verb](self, query)
 
     def end(self) -> None:
         """Roll back; the caller has gone or the time is over."""
@@ -132,9 +106,10 @@
         route, runner = self._current()
         if route is None or runner is None:
             return self._unknown_route()
-        now = self._clock.now()
         self._route = route
-        self.transaction = Transaction(runner, query.read_only, now, now)
+        self.transaction = Transaction(
+            runner, query.read_only, self._clock.now()
+        )
         return self._dialect.done(TransactionState.OPEN)
 
     async def commit(self, query: Query) -> Answer:
@@ -162,14 +137,12 @@
 
     async def execute(self, query: Query) -> Answer:
         """Run a prepared statement."""
-        shape = self.session.prepared.get(query.name)
-        if shape is None:
+        prepared = self.session.prepared.get(query.name)
+        if prepared is None:
             return self._fail(Code.UNKNOWN_STATEMENT, 'not prepared')
-        is_read, shape_text = shape
-        name = self._names.name(shape)
-        text = self._dialect.execute(name, query.argument)
+        text = self._dialect.execute(prepared.name, query.argument)
         return await self._execute(
-            query, text, is_read=is_read, prepared=(name, shape_text, is_read)
+            query, text, is_read=prepared.read_only, prepared=prepared
         )
 
     async def set_value(self, query: Query) -> Answer:
@@ -179,8 +152,9 @@
 
     async def prepare(self, query: Query) -> Answer:
         """Prepare a statement."""
-        shape = (query.read_only, query.argument)
-        self.session.prepared[query.name] = shape
+        self.session.prepared[query.name] = Prepared.of(
+            query.argument, read_only=query.read_only
+        )
         return self._dialect.done(self.state)
 
     async def deallocate(self, query: Query) -> Answer:
@@ -188,13 +162,17 @@
         self.session.prepared.pop(query.name, None)
         return self._dialect.done(self.state)
 
+    async def reject(self, _query: Query) -> Answer:
+        """Refuse a statement that is not understood."""
+        return self._fail(Code.MALFORMED, 'unknown statement')
+
     async def _execute(
         self,
         query: Query,
         text: bytes,
         *,
         is_read: bool,
-        prepared: tuple[bytes, bytes, bool] = (b'', b'', True),
+        prepared: Prepared | None = None,
     ) -> Answer:
         if self.transaction is not None and self._route is not None:
             job = self._job(
@@ -205,7 +183,9 @@
         if route is None or runner is None:
             return self._unknown_route()
         job = self._job(query, route, text, is_read=is_read, prepared=prepared)
-        return await (runner.read(job) if is_read else runner.write(job))
+        if is_read:
+            return await reading.read(runner, job)
+        return await writing.write(runner, job)
 
     def _job(
         self,
@@ -214,7 +194,7 @@
         text: bytes,
         *,
         is_read: bool,
-        prepared: tuple[bytes, bytes, bool] = (b'', b'', True),
+        prepared: Prepared | None = None,
     ) -> Job:
         return Job(
             query.request_id,
@@ -240,11 +220,9 @@
         return self._dialect.failure(code, reason, self.state)
 
 
-async def _reject(conversation: Conversation, query: Query) -> Answer:
-    return conversation._fail(Code.MALFORMED, 'unknown statement')
-
+_Handler: TypeAlias = Callable[[Conversation, Query], Awaitable[Answer]]
 
-_handlers: dict[Verb, Callable] = {
+_handlers: dict[Verb, _Handler] = {
     Verb.BEGIN: Conversation.begin,
     Verb.COMMIT: Conversation.commit,
     Verb.ROLLBACK: Conversation.roll_back,
@@ -254,4 +232,5 @@
     Verb.SET: Conversation.set_value,
     Verb.PREPARE: Conversation.prepare,
     Verb.DEALLOCATE: Conversation.deallocate,
+    Verb.UNKNOWN: Conversation.reject,
 }
--- a/monsoonproxy/entry.py
+++ b/monsoonproxy/entry.py
@@ -8,7 +8,7 @@
 from msgspec.structs import replace
 
 from monsoonproxy import messages
-from monsoonproxy.attempts import Progress, Lost, OpenRequest, is_final
+from monsoonproxy.attempts import Lost, OpenRequest, Progress, is_final
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.configuration import Configuration
 from monsoonproxy.declarations import Service
--- a/monsoonproxy/following.py
+++ b/monsoonproxy/following.py
@@ -53,7 +53,9 @@
                 await self._step()
                 pause = _FIRST_PAUSE
             except HistoryLostError:
-                _log.info('History of {} is gone; reading all', self._table.value)
+                _log.info(
+                    'History of {} is gone; reading all', self._table.value
+                )
                 self._version = None
             except PlatformError as exc:
                 self._note_failure(exc)
@@ -71,7 +73,9 @@
         self.answered_at = self._clock.now()
         if not self.connected:
             self.connected = True
-            _log.info('Following {} from {}', self._table.value, changes.version)
+            _log.info(
+                'Following {} from {}', self._table.value, changes.version
+            )
         self._version = changes.version
         if whole or changes.rows:
             self._take(changes, whole)
--- /dev/null
+++ b/monsoonproxy/forwards.py
@@ -0,0 +1,161 @@
+"""Messages by which daemons lease each other's connections.
+
+A database accepts fewer connections than there are daemons, so some daemons
+hold them and lend them to the others. Messages travel over TCP as MessagePack
+arrays with a length in front; a message's tag is its class name.
+"""
+
+from typing import TypeAlias
+
+import msgspec
+
+from monsoonproxy.exceptions import PeerError
+
+_LENGTH_BYTES = 4
+#: Greatest size of a message: a statement of 1 MiB with its frame.
+_MAX_MESSAGE = 2 * 1024 * 1024
+
+
+class _Forward(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Base of all messages.
+
+    :param stream: Number of the lease, unique per connection.
+    """
+
+    stream: int
+
+
+class Ask(_Forward, frozen=True):
+    """Asks for a connection to a backend server.
+
+    :param service: Name of the service.
+    :param server_id: Identity of the backend server.
+    :param limit: Longest wait in ms.
+    :param priority: 0 is the highest.
+    :param single: Whether it is for a single statement.
+    """
+
+    service: str
+    server_id: str
+    limit: int
+    priority: int
+    single: bool
+
+
+class Granted(_Forward, frozen=True):
+    """The connection is leased.
+
+    :param values: Session values that are set on it.
+    :param prepared: Names of the statements prepared on it.
+    """
+
+    values: dict[bytes, bytes]
+    prepared: list[bytes]
+
+
+class Denied(_Forward, frozen=True):
+    """No connection can be leased.
+
+    :param reason: Why, for people.
+    :param unreachable: Whether the backend server did not answer.
+    """
+
+    reason: str
+    unreachable: bool
+
+
+class Send(_Forward, frozen=True):
+    """Sends statements on the leased connection.
+
+    :param payload: The encoded statements.
+    :param count: How many there are.
+    """
+
+    payload: bytes
+    count: int
+
+
+class Answers(_Forward, frozen=True):
+    """All answers to what was sent last.
+
+    :param payload: The answers as they came.
+    """
+
+    payload: bytes
+
+
+class Broken(_Forward, frozen=True):
+    """The leased connection was lost; the answers will not come.
+
+    :param reason: Why, for people.
+    """
+
+    reason: str
+
+
+class Return(_Forward, frozen=True):
+    """Gives the connection back.
+
+    :param clean: Whether it may be used again.
+    :param values: Session values that are set on it now.
+    :param prepared: Names of the statements prepared on it now.
+    """
+
+    clean: bool
+    values: dict[bytes, bytes]
+    prepared: list[bytes]
+
+
+Request: TypeAlias = Ask | Send | Return
+Response: TypeAlias = Granted | Denied | Answers | Broken
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(
+    Ask | Granted | Denied | Send | Answers | Broken | Return
+)
+
+
+def encode(message: Request | Response) -> bytes:
+    """Encode a message with its length.
+
+    :param message: The message.
+    :returns: The bytes.
+    """
+    body = _encoder.encode(message)
+    return len(body).to_bytes(_LENGTH_BYTES, 'big') + body
+
+
+class Reader:
+    """Splits bytes into messages."""
+
+    def __init__(self) -> None:
+        self._rest = b''
+
+    def feed(self, chunk: bytes) -> list[Request | Response]:
+        """Take in bytes.
+
+        :param chunk: The bytes.
+        :returns: The messages that are complete now.
+        :raises PeerError: If the bytes don't form messages.
+        """
+        data = self._rest + chunk if self._rest else chunk
+        found = []
+        start = 0
+        while len(data) - start >= _LENGTH_BYTES:
+            body = start + _LENGTH_BYTES
+            size = int.from_bytes(data[start:body], 'big')
+            if size > _MAX_MESSAGE:
+                raise PeerError(f'message of {size} bytes')
+            if len(data) - body < size:
+                break
+            start = body + size
+            found.append(_decode(data[body:start]))
+        self._rest = data[start:]
+        return found
+
+
+def _decode(body: bytes) -> Request | Response:
+    try:
+        return _decoder.decode(body)
+    except msgspec.MsgspecError as exc:
+        raise PeerError(f'malformed message: {exc}') from exc
--- a/monsoonproxy/gates.py
+++ b/monsoonproxy/gates.py
@@ -13,6 +13,7 @@
 
 from monsoonproxy.clock import Millis, seconds
 from monsoonproxy.exceptions import MonsoonError
+from monsoonproxy.queries import Answer, Code
 
 #: Statements at once before anything is known, and at most. A database of two
 #: slots queues 16 more before it turns statements away.
@@ -93,20 +94,25 @@
         waiting = _Waiting(priority, next(self._numbers), place)
         heapq.heappush(self._waiting, waiting)
         try:
-            async with asyncio.timeout(seconds(max(1, int(limit)))):
-                await place
-        except TimeoutError:
-            if place.done() and not place.cancelled():
-                # The place came at the same moment.
-                return
-            self._forget(waiting)
-            raise GateClosedError('no place in time') from None
+            await asyncio.wait((place,), timeout=seconds(max(1, int(limit))))
         except asyncio.CancelledError:
-            if place.done() and not place.cancelled():
-                self.leave()
-            else:
-                self._forget(waiting)
+            self._withdraw(waiting)
             raise
+        if not place.done():
+            self._withdraw(waiting)
+            raise GateClosedError('no place in time')
+        place.result()
+
+    def judge(self, answer: Answer, now: Millis) -> None:
+        """Learn from an answer whether there are free slots.
+
+        :param answer: The answer.
+        :param now: The time.
+        """
+        if answer.code is Code.BUSY:
+            self.limit.turned_away(now)
+        elif answer.signed:
+            self.limit.served(self.running)
 
     def pass_by(self) -> None:
         """Take a place without waiting, for an open transaction."""
@@ -131,7 +137,10 @@
                 self.running += 1
                 entry.place.set_result(None)
 
-    def _forget(self, waiting: _Waiting) -> None:
-        if waiting in self._waiting:
+    def _withdraw(self, waiting: _Waiting) -> None:
+        if waiting.place.done():
+            # The place was given at the same moment.
+            self.leave()
+        elif waiting in self._waiting:
             self._waiting.remove(waiting)
             heapq.heapify(self._waiting)
--- a/monsoonproxy/gossip.py
+++ b/monsoonproxy/gossip.py
@@ -1,6 +1,7 @@
 """Sends and receives notices between daemons."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Any
 
@@ -12,12 +13,11 @@
 
 _log = log_for('gossip')
 
-#: Time in ms between two presences, and how many daemons get each. With 15
-#: daemons each one is heard about every 3 s.
-INTERVAL = Millis(2_000)
+#: Time in ms between two rounds of presences; each round tells the part of
+#: the daemons whose turn it is.
+_ROUND = Millis(250)
+#: Daemons that are told of news at once; they tell others.
 FANOUT = 8
-#: Daemons that are asked about a leader.
-JURY = 16
 #: Time in ms to fetch a configuration from another daemon.
 _FETCH_TIMEOUT = Millis(1_500)
 #: Pause in ms between two fetches, whoever has something newer.
@@ -31,16 +31,15 @@
 class Gossip(asyncio.DatagramProtocol):
     """The socket for notices, and what is told to everybody.
 
-    :param name: Name of this daemon.
-    :param address: ``ip:port`` where it takes notices.
+    :param own: This daemon, as others see it.
     :param neighbours: The other daemons.
     :param clock: Source of time.
     """
 
     def __init__(
-        self, name: str, address: str, neighbours: Neighbours, clock: Clock
+        self, own: Neighbour, neighbours: Neighbours, clock: Clock
     ) -> None:
-        self.name = name
+        self.name = own.name
         self.neighbours = neighbours
         self.leaving = False
         #: Returns version and document of the configuration in force.
@@ -49,16 +48,15 @@
         self.take_document: Callable[[bytes], None] = _ignore
         #: Handlers of further notices, by type.
         self.handlers: dict[type, Handle] = {}
-        self._address = address
+        self._own = own
         self._clock = clock
-        self._started = clock.wall()
         self._transport: Any = None
         self._server: asyncio.Server | None = None
         self._fetching: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Open the sockets."""
-        host, port = self._address.rsplit(':', 1)
+        host, port = self._own.address.rsplit(':', 1)
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
             lambda: self, local_addr=(host, int(port))
@@ -70,9 +68,13 @@
     async def run(self) -> None:
         """Tell some daemons of this one, again and again."""
         self.announce(self.neighbours.all())
+        turn: float = 0
         while True:
-            await asyncio.sleep(seconds(INTERVAL))
-            self.announce(self.neighbours.some(FANOUT, self._clock.now()))
+            await asyncio.sleep(seconds(_ROUND))
+            known = self.neighbours.all()
+            last = turn + len(known) * _ROUND / self.neighbours.interval
+            self.announce(known[int(turn) : int(last)])
+            turn = last if last < len(known) else 0
 
     def close(self) -> None:
         """Close the sockets."""
@@ -86,9 +88,16 @@
 
         :param receivers: To whom.
         """
+        own = self._own
         version, _document = self.document()
         presence = notices.Presence(
-            self.name, self._address, self._started, version, self.leaving
+            own.name,
+            own.address,
+            own.relay,
+            own.zone,
+            own.started,
+            version,
+            self.leaving,
         )
         self.send(presence, *(known.address for known in receivers))
 
@@ -180,12 +189,10 @@
     try:
         async with asyncio.timeout(seconds(_FETCH_TIMEOUT)):
             reader, writer = await asyncio.open_connection(host, int(port))
-            try:
+            with contextlib.closing(writer):
                 document = await reader.read(_MAX_DOCUMENT)
                 while chunk := await reader.read(_MAX_DOCUMENT):
                     document += chunk
-            finally:
-                writer.close()
     except (OSError, TimeoutError) as exc:
         raise PeerError(f'{address}: {exc!r}') from exc
     return document
--- /dev/null
+++ b/monsoonproxy/jobs.py
@@ -0,0 +1,91 @@
+"""Callers' sessions, and their statements on the way to a backend server."""
+
+import attrs
+
+from monsoonproxy.clock import Millis
+from monsoonproxy.models import Position
+from monsoonproxy.queries import Code, Prepared
+from monsoonproxy.routes import Freshness, Route
+
+#: Codes of a backend server which mean that a statement did not run there.
+NOT_RUN = frozenset(
+    (
+        Code.BUSY,
+        Code.LAGGING,
+        Code.READ_ONLY,
+        Code.WRONG_SERVER,
+        Code.TOO_MANY_CONNECTIONS,
+        Code.UNKNOWN_STATEMENT,
+    )
+)
+
+
+@attrs.define
+class Session:
+    """A caller's session.
+
+    :param number: Its number, for logs.
+    :param values: Values that the caller has set.
+    :param prepared: The caller's prepared statements, by its own names.
+    :param floor: Position of the latest commit of the session.
+    """
+
+    number: int
+    values: dict[bytes, bytes] = attrs.Factory(dict)
+    prepared: dict[bytes, Prepared] = attrs.Factory(dict)
+    floor: Position | None = None
+
+    def committed(self, position: Position | None) -> None:
+        """Take in the position of a commit.
+
+        :param position: The position, if the answer had one.
+        """
+        if position is None:
+            return
+        if self.floor is None or position > self.floor:
+            self.floor = position
+
+
+@attrs.define
+class Job:
+    """One statement of a caller on its way.
+
+    :param request_id: The caller's id.
+    :param text: Text to send.
+    :param is_read: Whether it reads.
+    :param route: The route in force when it arrived.
+    :param session: The caller's session.
+    :param arrived: When it arrived.
+    :param prepared: The prepared statement that it runs, if any.
+    :param tried: Backend servers that it was offered to, and how that ended.
+    :param refusals: How often nothing could be done.
+    :param sent: Whether it may have run.
+    :param given_up: Whether the caller has its answer already.
+    """
+
+    request_id: bytes
+    text: bytes
+    is_read: bool
+    route: Route
+    session: Session
+    arrived: Millis
+    prepared: Prepared | None = None
+    tried: dict[str, str] = attrs.Factory(dict)
+    refusals: int = 0
+    sent: bool = False
+    given_up: bool = False
+
+    @property
+    def priority(self) -> int:
+        """Return the priority of the route; 0 is the highest."""
+        return self.route.priority
+
+    @property
+    def deadline(self) -> Millis:
+        """Return when the statement's time is over."""
+        return Millis(self.arrived + self.route.timeout)
+
+    @property
+    def needs_leader(self) -> bool:
+        """Tell whether only the leader may run it outside a transaction."""
+        return not self.is_read or self.route.freshness is Freshness.PRIMARY
--- a/monsoonproxy/lanes.py
+++ b/monsoonproxy/lanes.py
@@ -1,17 +1,20 @@
 """The connections of a daemon to one backend server."""
 
 import asyncio
-import collections
+import heapq
 import itertools
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, Protocol
+
+import attrs
 
 from monsoonproxy import pools
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.dialects import Dialect
 from monsoonproxy.exceptions import ConnectionLostError, MonsoonError
+from monsoonproxy.gates import Gate
 from monsoonproxy.logs import log_for
-from monsoonproxy.queries import Code
+from monsoonproxy.queries import Answer, Code, Prepared
 from monsoonproxy.servers import Server
 from monsoonproxy.telemetry import Telemetry
 from monsoonproxy.wires import ServerWire, open_wire
@@ -30,8 +33,109 @@
     """No connection can be had in time."""
 
 
-class Lane:
-    """A pool of connections, by the decisions of :class:`pools.Pool`.
+class Wire(Protocol):
+    """A connection to a backend server, own or of another daemon."""
+
+    values: dict[bytes, bytes]
+    prepared: set[bytes]
+    adopted: int
+    closed: bool
+    sent_at: Millis
+    answered_at: Millis
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether an answer is still to come."""
+
+    def adopt(
+        self, values: dict[bytes, bytes], prepared: Prepared | None
+    ) -> bytes:
+        """Return the statements that give it a session's state."""
+
+    def exchange(
+        self, payload: bytes, count: int = 1
+    ) -> 'asyncio.Future[list[Answer]]':
+        """Send statements and wait for all their answers."""
+
+    def abort(self) -> None:
+        """Give it up at once; the backend server rolls back."""
+
+
+@attrs.frozen
+class Claim:
+    """What a statement or transaction needs a connection for.
+
+    :param limit: Longest wait in ms.
+    :param priority: 0 is the highest.
+    :param single: Whether it is a single statement, which also needs a place
+        at the backend server. Transactions take places as they go.
+    """
+
+    limit: float
+    priority: int = 0
+    single: bool = False
+
+
+class Lane(Protocol):
+    """Connections to one backend server, own or through another daemon."""
+
+    server: Server
+    gate: Gate
+    gone: bool
+    refused_at: Millis
+    on_failure: Callable[[], None]
+
+    @property
+    def has_idle(self) -> bool:
+        """Tell whether a connection can be leased at once."""
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether there is any connection."""
+
+    def warm_up(self) -> None:
+        """Open the connections that are kept ahead of need."""
+
+    async def acquire(self, claim: Claim) -> tuple[int, Wire]:
+        """Lease a connection.
+
+        :param claim: What it is needed for.
+        :returns: Its number and the connection.
+        :raises LaneFullError: If none becomes free in time.
+        :raises ConnectionLostError: If the backend server can't be reached.
+        :raises ServerGoneError: If its address belongs to another one.
+        """
+
+    def release(self, number: int, *, single: bool, clean: bool) -> None:
+        """Return a leased connection.
+
+        :param number: Its number.
+        :param single: Whether it was leased for a single statement.
+        :param clean: Whether it is outside a transaction, with no answer to
+            come. It is closed otherwise.
+        """
+
+    def interrupt(self) -> None:
+        """End all waits, since another backend server leads now."""
+
+    def close(self) -> None:
+        """Close idle connections; leased ones are closed when released."""
+
+    def abort(self) -> None:
+        """Close all connections at once."""
+
+
+@attrs.define(order=True)
+class _Waiting:
+    """A claim that waits; the least one goes first."""
+
+    priority: int
+    number: int
+    place: 'asyncio.Future[None]' = attrs.field(order=False)
+
+
+class DirectLane:
+    """A pool of own connections, by the decisions of :class:`pools.Pool`.
 
     :param server: The backend server.
     :param dialect: Its protocol.
@@ -49,108 +153,113 @@
         telemetry: Telemetry,
     ) -> None:
         self.server = server
-        self._telemetry = telemetry
+        self.gate = Gate()
         self.gone = False
+        #: When a connection was last refused.
+        self.refused_at = Millis(0)
         #: Is told when no connection can be opened.
         self.on_failure: Callable[[], None] = _ignore
-        #: When a connection last answered, and when one was last refused.
-        self.opened_at = Millis(0)
-        self.refused_at = Millis(0)
+        self._telemetry = telemetry
         self._dialect = dialect
         self._clock = clock
         self._pool = pools.Pool(rules, clock.now())
         self._wires: dict[int, ServerWire] = {}
         self._numbers = itertools.count(1)
-        self._waiting: collections.deque[asyncio.Future[None]]
-        self._waiting = collections.deque()
+        self._waiting: list[_Waiting] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._ticking = False
 
-    def __len__(self) -> int:
-        """Return the number of open connections.
-
-        :returns: The number.
-        """
-        return len(self._wires)
-
-    @property
-    def waiting(self) -> int:
-        """Return how many statements wait for a connection.
-
-        :returns: The number.
-        """
-        return len(self._waiting)
-
     @property
     def has_idle(self) -> bool:
         """Tell whether a connection can be leased at once."""
         return self._pool.idle > 0
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether there is any connection."""
+        return bool(self._wires)
+
     def warm_up(self) -> None:
         """Open the connections that are kept ahead of need."""
         self._tick()
 
-    async def acquire(self, limit: float) -> tuple[int, ServerWire]:
+    async def acquire(self, claim: Claim) -> tuple[int, ServerWire]:
         """Lease a connection.
 
-        :param limit: Longest wait in ms.
+        :param claim: What it is needed for.
         :returns: Its number and the connection.
-        :raises LaneFullError: If none becomes free in time.
-        :raises ConnectionLostError: If the backend server can't be reached.
-        :raises ServerGoneError: If its address belongs to another one.
-        """
-        while True:
-            lease = self._lease()
-            if lease is not None:
-                return lease
-            if self.gone:
-                raise ServerGoneError(self.server.server_id)
-            limit -= await self._wait(limit)
-            if limit <= 0:
-                raise LaneFullError(f'{self.server.address}: no connection')
-
-    def release(self, number: int, *, clean: bool) -> None:
-        """Return a leased connection.
-
-        :param number: Its number.
-        :param clean: Whether it is outside a transaction, with no answer to
-            come. It is closed otherwise.
         """
+        if not claim.single:
+            return await self._acquire(claim)
+        began = self._clock.now()
+        await self.gate.enter(claim.priority, claim.limit)
+        try:
+            waited = self._clock.now() - began
+            return await self._acquire(
+                attrs.evolve(claim, limit=claim.limit - waited)
+            )
+        except BaseException:
+            self.gate.leave()
+            raise
+
+    def release(self, number: int, *, single: bool, clean: bool) -> None:
+        """Return a leased connection."""
+        if single:
+            self.gate.leave()
         wire = self._wires.get(number)
         if wire is None:
             return
-        clean = clean and not wire.closed and not wire.busy
+        if not clean or wire.closed or wire.busy:
+            self._forget(number)
+            return
         now = self._clock.now()
-        self._run(self._pool.release(number, 0, clean, now))
+        self._run(self._pool.release(number, 0, clean=True, now=now))
         self._hand_out()
 
-    def forget(self, number: int) -> None:
-        """Close a leased connection whose state is unknown.
-
-        :param number: Its number.
-        """
-        wire = self._wires.pop(number, None)
-        if wire is not None:
-            self._telemetry.count('connections_given_up')
-            wire.abort()
-        self._pool.closed(number)
-        self._tick()
-
     def interrupt(self) -> None:
         """End all waits, since another backend server leads now."""
         self._wake_all(LaneFullError(f'{self.server.address}: not waited for'))
+        self.gate.interrupt()
 
     def close(self) -> None:
         """Close idle connections; leased ones are closed when released."""
         self.gone = True
         self._run(self._pool.stop(pools.CloseReason.LEAVING))
         self._wake_all(ServerGoneError(self.server.server_id))
+        self.gate.interrupt()
 
     def abort(self) -> None:
         """Close all connections at once."""
         self.close()
         for number in tuple(self._wires):
-            self.forget(number)
+            self._forget(number)
+
+    def reconfigure(self, rules: pools.PoolRules) -> None:
+        """Take new settings into use.
+
+        :param rules: Settings of the pool.
+        """
+        self._pool.reconfigure(rules)
+
+    async def _acquire(self, claim: Claim) -> tuple[int, ServerWire]:
+        limit = claim.limit
+        while True:
+            lease = self._lease()
+            if lease is not None:
+                return lease
+            if self.gone:
+                raise ServerGoneError(self.server.server_id)
+            limit -= await self._wait(claim.priority, limit)
+            if limit <= 0:
+                raise LaneFullError(f'{self.server.address}: no connection')
+
+    def _forget(self, number: int) -> None:
+        wire = self._wires.pop(number, None)
+        if wire is not None:
+            self._telemetry.count('connections_given_up')
+            wire.abort()
+        self._pool.closed(number)
+        self._tick()
 
     def _lease(self) -> tuple[int, ServerWire] | None:
         while True:
@@ -163,37 +272,39 @@
             self._wires.pop(number, None)
             self._pool.closed(number)
 
-    async def _wait(self, limit: float) -> float:
+    async def _wait(self, priority: int, limit: float) -> float:
         """Wait for a connection; return the time in ms that it took."""
         started = self._clock.now()
-        waiter = asyncio.get_running_loop().create_future()
-        self._waiting.append(waiter)
+        place = asyncio.get_running_loop().create_future()
+        waiting = _Waiting(priority, next(self._numbers), place)
+        heapq.heappush(self._waiting, waiting)
         self._tick()
         try:
             async with asyncio.timeout(seconds(max(1, int(limit)))):
-                await waiter
+                await place
         except TimeoutError:
             raise LaneFullError(
                 f'{self.server.address}: no connection'
             ) from None
         finally:
-            if waiter in self._waiting:
-                self._waiting.remove(waiter)
+            if waiting in self._waiting:
+                self._waiting.remove(waiting)
+                heapq.heapify(self._waiting)
         return self._clock.now() - started
 
     def _hand_out(self) -> None:
         idle = self._pool.idle
         while idle and self._waiting:
-            waiter = self._waiting.popleft()
-            if not waiter.done():
-                waiter.set_result(None)
+            place = heapq.heappop(self._waiting).place
+            if not place.done():
+                place.set_result(None)
                 idle -= 1
 
     def _wake_all(self, exc: MonsoonError) -> None:
-        while self._waiting:
-            waiter = self._waiting.popleft()
-            if not waiter.done():
-                waiter.set_exception(exc)
+        waiting, self._waiting = self._waiting, []
+        for entry in waiting:
+            if not entry.place.done():
+                entry.place.set_exception(exc)
 
     def _tick(self) -> None:
         now = self._clock.now()
@@ -220,12 +331,15 @@
             if isinstance(command, pools.Open):
                 for _ in range(command.count):
                     self._spawn(self._open())
-                continue
-            for number in command.connections:
-                wire = self._wires.pop(number, None)
-                if wire is not None:
-                    wire.close()
-                self._pool.closed(number)
+            else:
+                self._close_wires(command)
+
+    def _close_wires(self, command: pools.Close) -> None:
+        for number in command.connections:
+            wire = self._wires.pop(number, None)
+            if wire is not None:
+                wire.close()
+            self._pool.closed(number)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -245,18 +359,16 @@
             _log.info('{} is not at its address', self.server.server_id)
             self._pool.open_failed(too_many=False, now=now)
             self.close()
-            return
-        if answer.code is not None:
+        elif answer.code is None:
+            self._telemetry.count('connections_opened')
+            number = next(self._numbers)
+            self._wires[number] = wire
+            self._run(self._pool.opened(number, now))
+            self._hand_out()
+        else:
             too_many = answer.code is Code.TOO_MANY_CONNECTIONS
             text = f'{self.server.address}: {answer.code.value}'
             self._not_opened(ConnectionLostError(text), too_many=too_many)
-            return
-        self.opened_at = now
-        self._telemetry.count('connections_opened')
-        number = next(self._numbers)
-        self._wires[number] = wire
-        self._run(self._pool.opened(number, now))
-        self._hand_out()
 
     def _not_opened(self, exc: ConnectionLostError, *, too_many: bool) -> None:
         now = self._clock.now()
--- /dev/null
+++ b/monsoonproxy/leaders.py
@@ -0,0 +1,123 @@
+"""Finds the leader of a service, and samples its position."""
+
+import asyncio
+
+from monsoonproxy.clock import Millis, seconds
+from monsoonproxy.clusters import PROBE_TIMEOUT, Cluster, Member
+from monsoonproxy.exceptions import ConnectionLostError
+from monsoonproxy.lanes import DirectLane
+from monsoonproxy.wires import open_wire
+
+#: Longest time in ms in which a leader is replaced: detection, orders that
+#: are sent again, and 1 s to carry one out. Later, callers are told at once
+#: that nothing runs here.
+TAKEOVER_LIMIT = Millis(2_500)
+#: Pause in ms between two looks for a leader.
+_SEARCH_PAUSE = Millis(50)
+#: Time in ms without an answer after which a connection is opened just to see
+#: whether a backend server is alive. Opening takes 12 to 27 ms of a slot, too
+#: much for one that is only busy.
+_OPEN_TO_PROBE = Millis(350)
+
+
+class Leaders:
+    """Looks after the leader of one service for one daemon.
+
+    :param cluster: The service's backend servers.
+    """
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+        self._unreachable: str | None = None
+        self._searches: dict[str, asyncio.Task[None]] = {}
+        self._sampling: asyncio.Task[bool] | None = None
+        cluster.on_leaderless = self.search
+
+    @property
+    def is_hopeless(self) -> bool:
+        """Tell whether waiting for a leader is in vain.
+
+        :returns: Whether only this daemon can't reach the leader, or none was
+            found for longer than a replacement takes.
+        """
+        cluster = self._cluster
+        leader = cluster.leader
+        if leader is not None:
+            return leader.server.server_id == self._unreachable
+        since = cluster.leaderless_since
+        if since is None:
+            return False
+        return cluster.clock.now() - since > TAKEOVER_LIMIT
+
+    def mark_unreachable(self, server_id: str | None) -> None:
+        """Note that only this daemon can't reach the leader.
+
+        :param server_id: Identity of the leader; ``None`` if it is reached.
+        """
+        self._unreachable = server_id
+
+    def search(self) -> None:
+        """Look for the leader until one accepts a transaction."""
+        loop = asyncio.get_running_loop()
+        for name in self._cluster.members:
+            running = self._searches.get(name)
+            if running is None or running.done():
+                self._searches[name] = loop.create_task(self._search(name))
+
+    async def sample(self, limit: float) -> bool:
+        """Make a sample of the leader's position; callers share it.
+
+        :param limit: Longest wait in ms.
+        :returns: Whether there is a new sample.
+        """
+        if self._sampling is None or self._sampling.done():
+            loop = asyncio.get_running_loop()
+            self._sampling = loop.create_task(self._take_sample())
+        sampling = self._sampling
+        done, _pending = await asyncio.wait(
+            (sampling,), timeout=seconds(max(1, int(limit)))
+        )
+        return bool(done) and sampling.result()
+
+    async def responds(self, member: Member, limit: float) -> bool:
+        """Tell whether a backend server gives a sign of life.
+
+        If all connections are in use, another one is opened for it; that it
+        is refused for the number of connections is an answer too.
+
+        :param member: The backend server.
+        :param limit: Longest wait in ms.
+        :returns: Whether it answered.
+        """
+        cluster = self._cluster
+        if member.lane.has_idle or not isinstance(member.lane, DirectLane):
+            return await cluster.probe(member, limit) is not None
+        if cluster.clock.now() - member.answered_at < _OPEN_TO_PROBE:
+            await asyncio.sleep(seconds(_SEARCH_PAUSE))
+            return True
+        cluster.telemetry.count('probes_by_opening')
+        try:
+            async with asyncio.timeout(seconds(max(1, int(limit)))):
+                wire, _answer = await open_wire(
+                    cluster.dialect, member.server, cluster.clock
+                )
+        except (ConnectionLostError, TimeoutError):
+            return False
+        wire.close()
+        return True
+
+    async def _search(self, name: str) -> None:
+        cluster = self._cluster
+        while cluster.leadership.leader is None and name in cluster.members:
+            believed = cluster.leadership.believed()
+            if believed is None or believed == name:
+                await cluster.probe(cluster.members[name])
+            await asyncio.sleep(seconds(_SEARCH_PAUSE))
+
+    async def _take_sample(self) -> bool:
+        leader = self._cluster.leader
+        if leader is None:
+            self._cluster.search()
+            return False
+        answer = await self._cluster.probe(leader, PROBE_TIMEOUT)
+        return answer is not None and answer.succeeded
--- a/monsoonproxy/logs.py
+++ b/monsoonproxy/logs.py
@@ -117,7 +117,8 @@
         self._filled_at = now
         self._credit = min(_BURST, self._credit + earned)
         # The last part of the credit is for warnings.
-        if self._credit < (1 if level >= _WARNING else _BURST / 4):
+        least = 1 if level >= _WARNING else _BURST / 4
+        if self._credit < least:
             return False
         self._credit -= 1
         return True
--- a/monsoonproxy/neighbours.py
+++ b/monsoonproxy/neighbours.py
@@ -1,16 +1,21 @@
 """The other daemons that a daemon knows."""
 
 import random
-from collections.abc import Iterable
 
 import attrs
 
 from monsoonproxy.clock import Millis
+from monsoonproxy.models import Host
 from monsoonproxy.notices import Presence
 
-#: Time in ms after which a daemon that was not heard is taken for gone. Each
-#: daemon is heard every 2 to 4 s on average, and datagrams are lost.
-SILENCE = Millis(10_000)
+#: Presences that a daemon sends per second at most. At 2,400 daemons this is
+#: 6 KB/s, half of what a daemon may spend for control.
+_PER_S = 50
+#: Least time in ms between two presences to the same daemon.
+_LEAST_INTERVAL = Millis(2_000)
+#: Intervals without a presence after which a daemon is taken for gone, since
+#: datagrams are lost.
+_SILENT_INTERVALS = 3.5
 
 
 @attrs.define
@@ -19,6 +24,8 @@
 
     :param name: Its name.
     :param address: Where it takes notices.
+    :param relay: Where it lends connections.
+    :param zone: Availability zone that its host is in.
     :param started: When it started, in ms since the Unix epoch.
     :param heard_at: When it was last heard, or ``None``.
     :param version: Version of the configuration that it has.
@@ -27,6 +34,8 @@
 
     name: str
     address: str
+    relay: str = ''
+    zone: str = ''
     started: int = 0
     heard_at: Millis | None = None
     version: int = 0
@@ -52,13 +61,21 @@
         """
         return len(self._known)
 
+    @property
+    def interval(self) -> Millis:
+        """Return the time between two presences to the same daemon.
+
+        :returns: The time in ms; it grows with the number of daemons.
+        """
+        return max(_LEAST_INTERVAL, Millis(len(self) * 1000 // _PER_S))
+
     def add(self, name: str, address: str) -> None:
         """Add a daemon that the store lists.
 
         :param name: Its name.
         :param address: Where it takes notices.
         """
-        if name != self._own and name not in self._known:
+        if address and name != self._own and name not in self._known:
             self._known[name] = Neighbour(name, address)
 
     def get(self, name: str) -> Neighbour | None:
@@ -86,6 +103,8 @@
             return False
         is_new = known.heard_at is None or known.started < presence.started
         known.address = presence.address
+        known.relay = presence.relay
+        known.zone = presence.zone
         known.started = presence.started
         known.version = presence.version
         known.leaving = presence.leaving
@@ -98,27 +117,24 @@
         :param now: The time.
         :returns: The daemons.
         """
+        silence = self.interval * _SILENT_INTERVALS
         return tuple(
             known
             for known in self._known.values()
-            if known.heard_at is not None and now - known.heard_at < SILENCE
+            if known.heard_at is not None and now - known.heard_at < silence
         )
 
     def some(self, most: int, now: Millis) -> tuple[Neighbour, ...]:
-        """Choose receivers of a notice.
-
-        Now and then one that was not heard lately is chosen too, since its
-        own notices may not get through.
+        """Choose receivers of news that spread on.
 
         :param most: How many.
         :param now: The time.
         :returns: The daemons.
         """
         alive = self.alive(now)
-        chosen = self._sample(alive, most)
-        names = {known.name for known in alive}
-        rest = [known for known in self._known.values() if known.name not in names]
-        return (*chosen, *self._sample(rest, 1))
+        if len(alive) <= most:
+            return alive
+        return tuple(self._rng.sample(alive, most))
 
     def all(self) -> tuple[Neighbour, ...]:
         """Return all known daemons.
@@ -127,10 +143,14 @@
         """
         return tuple(self._known.values())
 
-    def _sample(
-        self, known: Iterable[Neighbour], most: int
-    ) -> tuple[Neighbour, ...]:
-        pool = list(known)
-        if len(pool) <= most:
-            return tuple(pool)
-        return tuple(self._rng.sample(pool, most))
+    def hosts(self, now: Millis) -> frozenset[Host]:
+        """Return where daemons lend connections that were heard lately.
+
+        :param now: The time.
+        :returns: Their relays, without those that are about to stop.
+        """
+        return frozenset(
+            Host(known.relay, known.zone)
+            for known in self.alive(now)
+            if known.relay and not known.leaving
+        )
--- a/monsoonproxy/notices.py
+++ b/monsoonproxy/notices.py
@@ -22,12 +22,16 @@
     """A daemon is there.
 
     :param address: Where it takes notices.
+    :param relay: Where it lends connections.
+    :param zone: Availability zone that its host is in.
     :param started: When it started, in ms since the Unix epoch.
     :param version: Version of the configuration that it has in force.
     :param leaving: Whether it is about to stop.
     """
 
     address: str
+    relay: str
+    zone: str
     started: int
     version: int
     leaving: bool = False
@@ -51,14 +55,10 @@
 
     :param number: Number of the question.
     :param reachable: Whether the sender reaches that backend server.
-    :param leader: The backend server that the sender takes for the leader.
-    :param term: Greatest term that the sender has seen.
     """
 
     number: int
     reachable: bool
-    leader: str
-    term: int
 
 
 class Succession(_Notice, frozen=True):
--- a/monsoonproxy/pools.py
+++ b/monsoonproxy/pools.py
@@ -134,6 +134,15 @@
         """
         return self._cap
 
+    def reconfigure(self, rules: PoolRules) -> None:
+        """Take new settings into use; open connections stay.
+
+        :param rules: Settings.
+        """
+        grown = rules.quota - self._rules.quota
+        self._rules = rules
+        self._cap = max(1, min(rules.quota, self._cap + max(0, grown)))
+
     def lease(self, transaction: int, now: Millis) -> int | None:
         """Lease a connection to one transaction.
 
--- a/monsoonproxy/queries.py
+++ b/monsoonproxy/queries.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import hashlib
 
 import attrs
 
@@ -12,6 +13,8 @@
 
 #: Id of statements that a daemon issues itself.
 OWN_ID = b'-'
+#: Length of a shape's digest; with 2**32 shapes two would meet by chance.
+_NAME_BYTES = 8
 
 
 class Verb(enum.Enum):
@@ -109,3 +112,30 @@
         :returns: Whether there is no error code.
         """
         return self.code is None
+
+
+@attrs.frozen
+class Prepared:
+    """A prepared statement.
+
+    :param name: Its name on connections to backend servers, which is the same
+        for the same shape on all daemons, since they share connections.
+    :param shape: Its shape.
+    :param read_only: Whether it reads.
+    """
+
+    name: bytes
+    shape: bytes
+    read_only: bool
+
+    @classmethod
+    def of(cls, shape: bytes, *, read_only: bool) -> 'Prepared':
+        """Name a prepared statement by its shape.
+
+        :param shape: Its shape.
+        :param read_only: Whether it reads.
+        :returns: The prepared statement.
+        """
+        kind = b'r' if read_only else b'w'
+        digest = hashlib.blake2b(shape, digest_size=_NAME_BYTES).hexdigest()
+        return cls(kind + digest.encode(), shape, read_only)
--- /dev/null
+++ b/monsoonproxy/reading.py
@@ -0,0 +1,236 @@
+"""Runs reads outside transactions."""
+
+import asyncio
+
+import attrs
+
+from monsoonproxy import selection
+from monsoonproxy.clock import seconds
+from monsoonproxy.clusters import Lease, Member, NotLeadingError
+from monsoonproxy.exceptions import ConnectionLostError
+from monsoonproxy.jobs import NOT_RUN, Job
+from monsoonproxy.lanes import Claim
+from monsoonproxy.models import Position
+from monsoonproxy.queries import OWN_ID, Answer, Code, TransactionState
+from monsoonproxy.routes import Freshness
+from monsoonproxy.running import LATE_ANSWER, NOT_LEASED, Runner
+
+#: A read that is not answered after this many times the usual time is sent to
+#: another backend server as well.
+_HEDGE_FACTOR = 6
+#: Bounds in ms of that time. Below, the tail of ordinary reads would be sent
+#: twice; above, an operation's objective is missed.
+_HEDGE_LEAST = 60
+_HEDGE_MOST = 150
+#: Attempts of one read that may be in work at once.
+_MOST_ATTEMPTS = 3
+#: A read at the leader is sent again only after this time in ms, and only if
+#: the leader answered others since: the answer is probably lost then. An
+#: overloaded leader would get even more to do.
+_LEADER_HEDGE = 300
+
+
+async def read(runner: Runner, job: Job) -> Answer:
+    """Run a read.
+
+    :param runner: What it runs on.
+    :param job: The read.
+    :returns: The answer; a promise that nothing is kept if there is none in
+        time.
+    """
+    return await _Reading(runner, job).run()
+
+
+class _Reading:
+    """One read with its attempts."""
+
+    def __init__(self, runner: Runner, job: Job) -> None:
+        self._runner = runner
+        self._cluster = runner.cluster
+        self._job = job
+        self._attempts: set[asyncio.Task[Answer | None]] = set()
+        self._lagging = False
+
+    async def run(self) -> Answer:
+        """Make attempts until one succeeds or the time is over."""
+        while self._left > 0 and not self._is_hopeless:
+            await self._attempt_again()
+            answer = await self._first_answer()
+            if answer is not None:
+                return answer
+        code = Code.LAGGING if self._lagging else Code.BUSY
+        return self._runner.failure(code, f'not read: {self._job.tried}')
+
+    @property
+    def _left(self) -> float:
+        return self._runner.left(self._job)
+
+    @property
+    def _is_hopeless(self) -> bool:
+        """Tell whether only other daemons can serve the read now."""
+        return self._job.needs_leader and self._runner.leaders.is_hopeless
+
+    async def _attempt_again(self) -> None:
+        pending = len(self._attempts)
+        if not self._may_attempt(pending):
+            return
+        task = await self._next_attempt()
+        if task is not None:
+            self._attempts.add(task)
+            if pending:
+                self._cluster.telemetry.count('reads_hedged')
+        elif not pending:
+            self._lagging = Code.LAGGING.value in self._job.tried.values()
+            self._job.tried.clear()
+            await self._runner.pause(self._job)
+
+    def _may_attempt(self, pending: int) -> bool:
+        if not self._job.needs_leader or not pending:
+            return pending < _MOST_ATTEMPTS
+        leader = self._cluster.leader
+        arrived = self._job.arrived
+        waited = self._runner.clock.now() - arrived
+        overtaken = leader and leader.answered_at - arrived > _LEADER_HEDGE
+        return pending < 2 and waited > _LEADER_HEDGE and bool(overtaken)
+
+    async def _next_attempt(self) -> 'asyncio.Task[Answer | None] | None':
+        job = self._job
+        if job.needs_leader:
+            leader = await self._cluster.wait_leader(self._left)
+            if leader is None:
+                return None
+            return self._runner.spawn(self._read_leader(leader))
+        floor = await self._runner.required_floor(job)
+        if floor is None:
+            return None
+        option = selection.choose(
+            self._cluster.options(),
+            floor,
+            job.tried,
+            self._runner.clock.now(),
+        )
+        if option is None:
+            return None
+        job.tried[option.name] = 'sent'
+        member = self._cluster.members[option.name]
+        return self._runner.spawn(self._read_once(member, floor))
+
+    async def _first_answer(self) -> Answer | None:
+        """Wait until an attempt succeeds or another one should be made."""
+        if not self._attempts:
+            return None
+        limit = self._left
+        if len(self._attempts) < _MOST_ATTEMPTS:
+            limit = min(limit, self._hedge_after())
+        done, self._attempts = await asyncio.wait(
+            self._attempts,
+            timeout=seconds(1) * max(1, limit),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        answers = [task.result() for task in done]
+        return next((answer for answer in answers if answer is not None), None)
+
+    def _hedge_after(self) -> float:
+        members = self._cluster.members.values()
+        usual = [member.record.latency for member in members]
+        expected = _HEDGE_FACTOR * min(usual, default=_HEDGE_LEAST)
+        return min(_HEDGE_MOST, max(_HEDGE_LEAST, expected))
+
+    async def _read_once(
+        self, member: Member, floor: Position | None
+    ) -> Answer | None:
+        """Read from one backend server.
+
+        :returns: The answer for the caller, or ``None`` if another backend
+            server is to be tried.
+        """
+        cluster, job = self._cluster, self._job
+        try:
+            async with cluster.leased(member, self._claim()) as lease:
+                await self._runner.adopt(lease, job)
+                payload = cluster.dialect.query(job.request_id, job.text, floor)
+                answers = await cluster.exchange(
+                    lease, payload, 1, self._left + LATE_ANSWER
+                )
+                lease.clean = answers[0].state is TransactionState.IDLE
+                return self._judge(lease, answers[0], floor)
+        except NOT_LEASED as exc:
+            job.tried[member.server.server_id] = str(exc)
+        except ConnectionLostError as exc:
+            self._note_loss(member, exc)
+        return None
+
+    async def _read_leader(self, member: Member) -> Answer | None:
+        """Read in a transaction that only a leader accepts."""
+        cluster, job = self._cluster, self._job
+        name = member.server.server_id
+        try:
+            async with cluster.leased(member, self._claim()) as lease:
+                await self._runner.adopt(lease, job)
+                begun = await cluster.begin(lease, self._left)
+                if begun.succeeded:
+                    return await self._read_in_transaction(lease)
+                job.tried[name] = begun.reason
+        except NotLeadingError:
+            job.tried[name] = 'not leading'
+        except NOT_LEASED as exc:
+            job.tried[name] = str(exc)
+        except ConnectionLostError as exc:
+            self._note_loss(member, exc)
+        return None
+
+    async def _read_in_transaction(self, lease: Lease) -> Answer | None:
+        cluster, job = self._cluster, self._job
+        dialect = cluster.dialect
+        payload = dialect.query(job.request_id, job.text)
+        payload += dialect.query(OWN_ID, dialect.rollback())
+        answer, ended = await cluster.exchange(
+            lease, payload, 2, self._left + LATE_ANSWER
+        )
+        lease.clean = ended.state is TransactionState.IDLE
+        if answer.code is Code.READ_ONLY:
+            cluster.not_leading(lease.member)
+        elif answer.succeeded:
+            cluster.led(lease, answer)
+            answer = attrs.evolve(answer, state=TransactionState.IDLE)
+        return self._judge(lease, answer, None)
+
+    def _judge(
+        self, lease: Lease, answer: Answer, floor: Position | None
+    ) -> Answer | None:
+        """Learn from an answer; return it if it is for the caller."""
+        member = lease.member
+        record = member.record
+        now = self._runner.clock.now()
+        where = 'leader' if member is self._cluster.leader else 'replica'
+        if answer.succeeded and answer.signed:
+            took = lease.wire.answered_at - lease.wire.sent_at
+            record.answered(took, answer.position, now)
+            self._cluster.telemetry.count(f'reads_at_{where}')
+            return answer
+        code = answer.code or Code.FAILED
+        self._cluster.telemetry.count(f'reads_{code.name.lower()}_at_{where}')
+        self._job.tried[member.server.server_id] = code.value
+        self._runner.judge_session(lease, answer)
+        if code is Code.LAGGING and floor is not None:
+            record.lagged(floor, now)
+        elif code not in NOT_RUN:
+            record.failed(now, lost=False)
+        return None
+
+    def _claim(self) -> Claim:
+        return Claim(self._left, self._job.priority, single=True)
+
+    def _note_loss(self, member: Member, exc: ConnectionLostError) -> None:
+        member.record.failed(self._runner.clock.now(), lost=True)
+        self._job.tried[member.server.server_id] = str(exc)
+
+
+def runs_at_leader(job: Job, *, read_only: bool) -> bool:
+    """Tell whether a transaction must run at the leader.
+
+    :param job: A statement of it.
+    :param read_only: Whether it only reads.
+    :returns: Whether no replica may run it.
+    """
+    return not read_only or job.route.freshness is Freshness.PRIMARY
--- /dev/null
+++ b/monsoonproxy/remotes.py
@@ -0,0 +1,422 @@
+"""Connections to backend servers that other daemons lend."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from monsoonproxy import forwards
+from monsoonproxy.clock import Clock, Millis, seconds
+from monsoonproxy.dialects import Dialect
+from monsoonproxy.exceptions import (
+    ConnectionLostError,
+    DialectError,
+    PeerError,
+)
+from monsoonproxy.gates import Gate
+from monsoonproxy.lanes import Claim, LaneFullError
+from monsoonproxy.logs import log_for
+from monsoonproxy.models import Host
+from monsoonproxy.queries import Answer
+from monsoonproxy.servers import Server
+from monsoonproxy.telemetry import Telemetry
+from monsoonproxy.wires import SessionState, reveal_silence
+
+_log = log_for('remote')
+
+#: Longest time in ms to reach another daemon, far above any round trip.
+_CONNECT_TIMEOUT = Millis(700)
+#: Time in ms without any answer of a daemon after which it is not used for a
+#: while, and how long that is.
+_LENDER_SILENCE = Millis(600)
+_LENDER_PAUSE = Millis(2_000)
+#: Share of the time left for one lender while there are others.
+_FIRST_SHARE = 0.5
+
+
+class Link(asyncio.Protocol):
+    """The connection to another daemon, with the leases on it.
+
+    :param address: ``ip:port`` of the daemon's relay.
+    :param clock: Source of time.
+    """
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self.address = address
+        self.unused_until = Millis(0)
+        self.leases: dict[int, RemoteWire] = {}
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._reader = forwards.Reader()
+        self._transport: Any = None
+        self._connecting: asyncio.Task[None] | None = None
+        self._waiting: dict[int, asyncio.Future[forwards.Response]] = {}
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether the daemon answered lately, or was not asked."""
+        return self._clock.now() >= self.unused_until
+
+    def avoid(self) -> None:
+        """Do not use the daemon for a while."""
+        self.unused_until = Millis(self._clock.now() + _LENDER_PAUSE)
+
+    async def ask(
+        self, server: Server, claim: Claim
+    ) -> tuple[int, forwards.Granted]:
+        """Ask for a connection to a backend server.
+
+        :param server: The backend server.
+        :param claim: What it is needed for.
+        :returns: Number of the lease and the grant.
+        :raises LaneFullError: If none can be lent in time.
+        :raises ConnectionLostError: If the backend server can't be reached.
+        :raises PeerError: If the daemon can't be reached.
+        """
+        await self._connect()
+        stream = next(self._numbers)
+        ask = forwards.Ask(
+            stream,
+            server.service,
+            server.server_id,
+            max(1, int(claim.limit)),
+            claim.priority,
+            claim.single,
+        )
+        try:
+            async with asyncio.timeout(
+                seconds(max(1, int(claim.limit)) + _LENDER_SILENCE)
+            ):
+                response = await self.send(ask)
+        except TimeoutError:
+            self.avoid()
+            self._give_up(stream)
+            raise PeerError(f'{self.address}: no grant') from None
+        except asyncio.CancelledError:
+            self._give_up(stream)
+            raise
+        return stream, _granted(response)
+
+    def send(
+        self, message: forwards.Request
+    ) -> 'asyncio.Future[forwards.Response]':
+        """Send a message and wait for the response on its stream.
+
+        :param message: The message.
+        :returns: The response, or :class:`PeerError`.
+        """
+        waiter = asyncio.get_running_loop().create_future()
+        if self._transport is None:
+            waiter.set_exception(PeerError(f'{self.address}: closed'))
+            return waiter
+        self._waiting[message.stream] = waiter
+        self._transport.write(forwards.encode(message))
+        return waiter
+
+    def give_back(self, message: forwards.Return) -> None:
+        """Return a lease.
+
+        :param message: The message.
+        """
+        self.leases.pop(message.stream, None)
+        self._waiting.pop(message.stream, None)
+        if self._transport is not None:
+            self._transport.write(forwards.encode(message))
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    # Events of the transport.
+
+    def connection_made(self, transport: Any) -> None:
+        """Start."""
+        self._transport = transport
+        reveal_silence(transport.get_extra_info('socket'))
+
+    def data_received(self, data: bytes) -> None:
+        """Hand out responses."""
+        try:
+            messages = self._reader.feed(data)
+        except PeerError as exc:
+            _log.warning('Closed {}: {}', self.address, exc)
+            self.close()
+            return
+        for message in messages:
+            waiter = self._waiting.pop(message.stream, None)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(message)  # type: ignore[arg-type]
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail what waits for a response."""
+        self._transport = None
+        self._reader = forwards.Reader()
+        for wire in self.leases.values():
+            wire.closed = True
+        self.leases.clear()
+        waiting, self._waiting = self._waiting, {}
+        for waiter in waiting.values():
+            if not waiter.done():
+                waiter.set_exception(
+                    PeerError(f'{self.address}: {exc or "closed"}')
+                )
+
+    async def _connect(self) -> None:
+        if self._transport is not None:
+            return
+        if self._connecting is None or self._connecting.done():
+            loop = asyncio.get_running_loop()
+            self._connecting = loop.create_task(self._open())
+        await asyncio.shield(self._connecting)
+
+    async def _open(self) -> None:
+        host, port = self.address.rsplit(':', 1)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(seconds(_CONNECT_TIMEOUT)):
+                await loop.create_connection(lambda: self, host, int(port))
+        except (OSError, TimeoutError) as exc:
+            self.avoid()
+            raise PeerError(f'{self.address}: {exc!r}') from exc
+
+    def _give_up(self, stream: int) -> None:
+        self.give_back(
+            forwards.Return(stream, clean=False, values={}, prepared=[])
+        )
+
+
+def _granted(response: forwards.Response) -> forwards.Granted:
+    if isinstance(response, forwards.Granted):
+        return response
+    if isinstance(response, forwards.Denied) and response.unreachable:
+        raise ConnectionLostError(response.reason)
+    raise LaneFullError(getattr(response, 'reason', 'unexpected answer'))
+
+
+class RemoteWire(SessionState):
+    """A connection that another daemon has lent.
+
+    :param link: The connection to that daemon.
+    :param stream: Number of the lease.
+    :param dialect: The protocol of the backend server.
+    :param clock: Source of time.
+    """
+
+    def __init__(
+        self, link: Link, stream: int, dialect: Dialect, clock: Clock
+    ) -> None:
+        super().__init__(dialect)
+        self.link = link
+        self.stream = stream
+        self.closed = False
+        self.answered_at = Millis(0)
+        self.sent_at = Millis(0)
+        self._clock = clock
+        self._waiter: asyncio.Task[list[Answer]] | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether an answer is still to come."""
+        return self._waiter is not None and not self._waiter.done()
+
+    def exchange(
+        self, payload: bytes, count: int = 1
+    ) -> 'asyncio.Future[list[Answer]]':
+        """Send statements and wait for all their answers."""
+        self.sent_at = self._clock.now()
+        self._waiter = asyncio.get_running_loop().create_task(
+            self._exchange(payload, count)
+        )
+        return self._waiter
+
+    def abort(self) -> None:
+        """Give it up at once; the backend server rolls back."""
+        self.closed = True
+
+    async def _exchange(self, payload: bytes, count: int) -> list[Answer]:
+        if self.closed:
+            raise ConnectionLostError('the connection is closed')
+        sent = forwards.Send(self.stream, payload, count)
+        try:
+            response = await self.link.send(sent)
+            answers = self._decode(response)
+        except (PeerError, DialectError) as exc:
+            self.closed = True
+            raise ConnectionLostError(str(exc), sent=True) from exc
+        if len(answers) != count:
+            self.closed = True
+            raise ConnectionLostError('answers are missing', sent=True)
+        self.answered_at = self._clock.now()
+        return answers
+
+    def _decode(self, response: forwards.Response) -> list[Answer]:
+        if isinstance(response, forwards.Answers):
+            return self._dialect.answer_reader().feed(response.payload)
+        raise PeerError(getattr(response, 'reason', 'unexpected answer'))
+
+
+class Links:
+    """The connections to other daemons.
+
+    :param clock: Source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._links: dict[str, Link] = {}
+
+    def to(self, address: str) -> Link:
+        """Return the connection to a daemon, which may not be open yet.
+
+        :param address: ``ip:port`` of its relay.
+        :returns: The connection.
+        """
+        link = self._links.get(address)
+        if link is None:
+            link = Link(address, self._clock)
+            self._links[address] = link
+        return link
+
+    def close(self) -> None:
+        """Close all connections."""
+        for link in self._links.values():
+            link.close()
+
+
+Lenders = Callable[[], tuple[Host, ...]]
+
+
+class RemoteLane:
+    """Connections to one backend server through the daemons that hold them.
+
+    :param server: The backend server.
+    :param lenders: Returns the daemons that hold connections to it, the best
+        first.
+    :param links: Connections to daemons.
+    :param dialect: Protocol of the backend server.
+    :param clock: Source of time.
+    :param telemetry: Counts what happens.
+    """
+
+    def __init__(
+        self,
+        server: Server,
+        lenders: Lenders,
+        links: Links,
+        dialect: Dialect,
+        clock: Clock,
+        telemetry: Telemetry,
+    ) -> None:
+        self.server = server
+        # The lender's gate limits what it has in work.
+        self.gate = Gate()
+        self.gone = False
+        self.refused_at = Millis(0)
+        self.on_failure: Callable[[], None] = _ignore
+        self._lenders = lenders
+        self._links = links
+        self._dialect = dialect
+        self._clock = clock
+        self._telemetry = telemetry
+        self._wires: dict[int, RemoteWire] = {}
+        self._numbers = itertools.count(1)
+        self._asking: set[asyncio.Task[Any]] = set()
+
+    @property
+    def has_idle(self) -> bool:
+        """Tell whether a connection can be leased at once."""
+        return True
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether some daemon may lend connections."""
+        return bool(self._lenders())
+
+    def warm_up(self) -> None:
+        """Do nothing; lenders open their connections themselves."""
+
+    async def acquire(self, claim: Claim) -> tuple[int, RemoteWire]:
+        """Lease a connection from one lender after another."""
+        deadline = self._clock.now() + claim.limit
+        problem: Exception = LaneFullError('no daemon lends connections')
+        links = self._usable()
+        for link in links:
+            left = deadline - self._clock.now()
+            if left <= 0:
+                break
+            if link is not links[-1]:
+                left *= _FIRST_SHARE
+            try:
+                return await self._ask(link, attrs.evolve(claim, limit=left))
+            except (PeerError, LaneFullError, ConnectionLostError) as exc:
+                self._telemetry.count('leases_denied')
+                problem = exc
+        if isinstance(problem, ConnectionLostError):
+            self.refused_at = self._clock.now()
+            self.on_failure()
+            raise problem
+        raise LaneFullError(str(problem))
+
+    def release(self, number: int, *, single: bool, clean: bool) -> None:
+        """Return a leased connection."""
+        wire = self._wires.pop(number, None)
+        if wire is None:
+            return
+        clean = clean and not wire.closed and not wire.busy
+        wire.link.give_back(
+            forwards.Return(
+                wire.stream, clean, wire.values, list(wire.prepared)
+            )
+        )
+
+    def interrupt(self) -> None:
+        """End all waits, since another backend server leads now."""
+        for task in tuple(self._asking):
+            task.cancel()
+
+    def close(self) -> None:
+        """Lease nothing any more."""
+        self.gone = True
+        self.interrupt()
+
+    def abort(self) -> None:
+        """Give up all leases."""
+        self.close()
+        for number in tuple(self._wires):
+            self.release(number, single=False, clean=False)
+
+    def _usable(self) -> list[Link]:
+        links = [self._links.to(host.address) for host in self._lenders()]
+        # Lenders that did not answer lately come last.
+        return sorted(links, key=lambda link: not link.is_usable)[:3]
+
+    async def _ask(self, link: Link, claim: Claim) -> tuple[int, RemoteWire]:
+        asking = asyncio.get_running_loop().create_task(
+            link.ask(self.server, claim)
+        )
+        self._asking.add(asking)
+        try:
+            stream, granted = await asking
+        except asyncio.CancelledError:
+            asking.cancel()
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            raise LaneFullError('not waited for') from None
+        finally:
+            self._asking.discard(asking)
+        wire = RemoteWire(link, stream, self._dialect, self._clock)
+        wire.values = granted.values
+        wire.prepared = set(granted.prepared)
+        link.leases[stream] = wire
+        number = next(self._numbers)
+        self._wires[number] = wire
+        self._telemetry.count('leases')
+        return number, wire
+
+
+def _ignore() -> None:
+    """Do nothing; stands in until somebody watches the lane."""
--- a/monsoonproxy/telemetry.py
+++ b/monsoonproxy/telemetry.py
@@ -65,6 +65,9 @@
         yield f'# TYPE {_PREFIX}_events_total counter'
         for event, number in sorted(self._counters.items()):
             yield f'{_PREFIX}_events_total{{event="{event}"}} {number}'
+        yield from self._statement_lines()
+
+    def _statement_lines(self) -> Iterator[str]:
         yield f'# TYPE {_PREFIX}_statements_total counter'
         for (service, kind, outcome), number in self._metrics.totals():
             labels = f'service="{service}",kind="{kind}",outcome="{outcome}"'
--- a/monsoonproxy/tokenbook.py
+++ b/monsoonproxy/tokenbook.py
@@ -89,21 +89,28 @@
         known = self._known.setdefault(service, _Known())
         entry = _Entry(self._name, self.newest(service) + 1, server_id)
         content = msgspec.json.encode(entry)
-        for attempt in range(1, _TRIES + 1):
+        row = await self._write(service, content, known.version)
+        found = self._take(service, row)
+        return entry.token if found == entry else None
+
+    async def _write(
+        self, service: str, content: bytes, expected: int
+    ) -> Change:
+        """Write a row; repeat that if the answer is lost.
+
+        A repetition after a write that took effect fails its condition and
+        returns the row, which tells whose it is.
+        """
+        problem = PlatformError('not tried')
+        for _ in range(_TRIES):
             try:
-                row = await self._store.write(
-                    Table.TOKENS, service, content, known.version
+                return await self._store.write(
+                    Table.TOKENS, service, content, expected
                 )
             except PlatformError as exc:
-                _log.info('Claim {} for {}: {}', entry.token, service, exc)
-                if attempt == _TRIES:
-                    raise
-                continue
-            found = self._take(service, row)
-            if found == entry:
-                return entry.token
-            return None
-        return None
+                _log.info('Claim for {}: {}', service, exc)
+                problem = exc
+        raise problem
 
     def _take(self, service: str, row: Change) -> _Entry:
         known = self._known.setdefault(service, _Known())
--- a/monsoonproxy/wires.py
+++ b/monsoonproxy/wires.py
@@ -7,7 +7,7 @@
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.dialects import Dialect
 from monsoonproxy.exceptions import ConnectionLostError, DialectError
-from monsoonproxy.queries import OWN_ID, Answer
+from monsoonproxy.queries import OWN_ID, Answer, Prepared
 from monsoonproxy.servers import Server
 
 #: Longest time in ms to open a connection. A database takes 12 to 27 ms; a
@@ -24,7 +24,59 @@
 _MAX_PREPARED = 64
 
 
-class ServerWire(asyncio.Protocol):
+class SessionState:
+    """What a connection holds of the session that used it last.
+
+    :param dialect: The protocol.
+    """
+
+    def __init__(self, dialect: Dialect) -> None:
+        #: Session values and names of prepared statements.
+        self.values: dict[bytes, bytes] = {}
+        self.prepared: set[bytes] = set()
+        #: How many statements the latest :meth:`adopt` returned.
+        self.adopted = 0
+        self._dialect = dialect
+
+    def adopt(
+        self, values: dict[bytes, bytes], prepared: Prepared | None
+    ) -> bytes:
+        """Return the statements that give the connection a session's state.
+
+        :param values: The session's values.
+        :param prepared: The prepared statement that is to be run.
+        :returns: Encoded statements; :attr:`adopted` counts them.
+        """
+        texts: list[bytes] = []
+        if self._needs_reset(values, prepared):
+            texts.append(self._dialect.reset())
+            self.values = {}
+            self.prepared = set()
+        for key, setting in values.items():
+            if self.values.get(key) != setting:
+                texts.append(self._dialect.set_value(key, setting))
+        self.values = dict(values)
+        if prepared is not None and prepared.name not in self.prepared:
+            texts.append(self._prepare(prepared))
+        self.adopted = len(texts)
+        return b''.join(self._dialect.query(OWN_ID, text) for text in texts)
+
+    def _needs_reset(
+        self, values: dict[bytes, bytes], prepared: Prepared | None
+    ) -> bool:
+        if any(key not in values for key in self.values):
+            return True
+        is_new = prepared is not None and prepared.name not in self.prepared
+        return is_new and len(self.prepared) >= _MAX_PREPARED
+
+    def _prepare(self, prepared: Prepared) -> bytes:
+        self.prepared.add(prepared.name)
+        return self._dialect.prepare(
+            prepared.name, prepared.shape, read_only=prepared.read_only
+        )
+
+
+class ServerWire(SessionState, asyncio.Protocol):
     """One connection to a backend server.
 
     It has at most one exchange in work, so that an answer that is lost can't
@@ -36,17 +88,12 @@
     """
 
     def __init__(self, dialect: Dialect, server: Server, clock: Clock) -> None:
+        super().__init__(dialect)
         self.server = server
-        #: Session values and prepared statements that are set on it.
-        self.values: dict[bytes, bytes] = {}
-        self.prepared: set[bytes] = set()
         self.closed = False
-        #: How many statements the latest :meth:`adopt` returned.
-        self.adopted = 0
         #: When the latest answer arrived, and when the exchange was sent.
         self.answered_at = Millis(0)
         self.sent_at = Millis(0)
-        self._dialect = dialect
         self._clock = clock
         self._reader = dialect.answer_reader()
         self._transport: Any = None
@@ -82,36 +129,6 @@
         self._transport.write(payload)
         return waiter
 
-    def adopt(
-        self, values: dict[bytes, bytes], prepared: tuple[bytes, bytes, bool]
-    ) -> bytes:
-        """Return the statements that give the connection a session's state.
-
-        :param values: The session's values.
-        :param prepared: Name, shape and kind of the prepared statement that
-            is to be run; an empty name for none.
-        :returns: Encoded statements; :attr:`adopted` counts them.
-        """
-        texts: list[bytes] = []
-        dialect = self._dialect
-        name, shape, read_only = prepared
-        crowded = name not in self.prepared and (
-            len(self.prepared) >= _MAX_PREPARED
-        )
-        if crowded or any(key not in values for key in self.values):
-            texts.append(dialect.reset())
-            self.values = {}
-            self.prepared = set()
-        for key, setting in values.items():
-            if self.values.get(key) != setting:
-                texts.append(dialect.set_value(key, setting))
-        self.values = dict(values)
-        if name and name not in self.prepared:
-            texts.append(dialect.prepare(name, shape, read_only=read_only))
-            self.prepared.add(name)
-        self.adopted = len(texts)
-        return b''.join(dialect.query(OWN_ID, text) for text in texts)
-
     def abort(self) -> None:
         """Close the connection at once; the backend server rolls back."""
         self.closed = True
@@ -198,7 +215,7 @@
         async with asyncio.timeout(seconds(OPEN_TIMEOUT)):
             await loop.create_connection(lambda: wire, host, int(port))
             hello = dialect.open(server.service, server.server_id)
-            (answer,) = await wire.exchange(hello)
+            answers = await wire.exchange(hello)
     except TimeoutError:
         wire.abort()
         raise ConnectionLostError(
@@ -206,16 +223,18 @@
         ) from None
     except (OSError, ValueError) as exc:
         wire.abort()
-        refused = isinstance(exc, (ConnectionRefusedError, ConnectionResetError))
+        refused = isinstance(
+            exc, (ConnectionRefusedError, ConnectionResetError)
+        )
         raise ConnectionLostError(
             f'{server.address}: {exc}', refused=refused
         ) from exc
     except BaseException:
         wire.abort()
         raise
-    if answer.code is not None:
+    if answers[0].code is not None:
         wire.abort()
-    return wire, answer
+    return wire, answers[0]
 
 
 def reveal_silence(sock: socket.socket) -> None:
--- a/tests/test_bindings.py
+++ b/tests/test_bindings.py
@@ -18,8 +18,8 @@
 )
 from monsoonproxy.exceptions import StatementError
 from monsoonproxy.streams import PacketError
-from tests.fixtures import load_functions
 from tests.callers import Running, end
+from tests.fixtures import load_functions
 
 load_tests = load_functions(__name__)
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -17,8 +17,8 @@
 )
 from monsoonproxy.streams import PacketStream
 from tests import wire
-from tests.fixtures import load_functions
 from tests.callers import Running, end
+from tests.fixtures import load_functions
 
 load_tests = load_functions(__name__)
 
--- a/tests/test_database_stand_in.py
+++ b/tests/test_database_stand_in.py
@@ -27,7 +27,6 @@
     run,
 )
 
-
 load_tests = load_functions(__name__)
 
 _TABLE = 'CREATE TABLE IF NOT EXISTS t (id INT PRIMARY KEY, v VARCHAR(20))'
--- a/tests/test_frontends.py
+++ b/tests/test_frontends.py
@@ -13,8 +13,8 @@
 from monsoonproxy.clock import Millis
 from monsoonproxy.models import Position
 from tests import wire
-from tests.fixtures import load_functions
 from tests.callers import Running, end
+from tests.fixtures import load_functions
 
 load_tests = load_functions(__name__)
 
--- /dev/null
+++ b/tests/test_gates.py
@@ -0,0 +1,117 @@
+"""Tests of the limit of statements at a backend server."""
+
+import asyncio
+
+from monsoonproxy.clock import Millis
+from monsoonproxy.gates import Gate, GateClosedError, Limit
+from tests.fixtures import load_functions
+
+load_tests = load_functions(__name__)
+
+
+def test_limit_falls_once_per_queue() -> None:
+    """Guards against one full queue that closes the gate altogether."""
+    limit = Limit()
+    before = limit.current
+    for _ in range(10):
+        limit.turned_away(Millis(1_000))
+    assert 1 < limit.current < before
+    for number in range(100):
+        limit.turned_away(Millis(2_000 + number * 100))
+    assert limit.current == 1
+
+
+def test_limit_grows_only_in_use() -> None:
+    """Guards against a limit that grows while nothing tests it."""
+    limit = Limit()
+    limit.turned_away(Millis(1_000))
+    low = limit.current
+    limit.served(1)
+    assert limit.current == low
+    for _ in range(200):
+        limit.served(20)
+    assert limit.current > 10
+
+
+def test_shares_converge() -> None:
+    """Guards against daemons that starve each other at a shared server.
+
+    Pattern: 14 daemons press on one primary with two slots and 16 places,
+    after its replicas have fallen behind.
+    """
+    limits = [Limit() for _ in range(14)]
+    limits[0].current = 12
+    refused = []
+    for turn in range(400):
+        now = Millis(turn * 30)
+        wanted = [int(limit.current) for limit in limits]
+        room = 18
+        turned_away = 0
+        order = range(turn % 14, turn % 14 + 14)
+        for place in order:
+            limit = limits[place % 14]
+            mine = wanted[place % 14]
+            if mine > room:
+                limit.turned_away(now)
+                turned_away += 1
+            else:
+                limit.served(mine)
+            room = max(0, room - mine)
+        refused.append(turned_away)
+    assert max(limit.current for limit in limits) < 6
+    assert sum(refused[200:]) < sum(refused[:200])
+
+
+async def test_urgent_first() -> None:
+    """Guards against an urgent statement behind many others."""
+    gate = Gate()
+    gate.limit.current = 1
+    await gate.enter(2, 1_000)
+    order: list[str] = []
+
+    async def wait(name: str, priority: int) -> None:
+        await gate.enter(priority, 1_000)
+        order.append(name)
+        gate.leave()
+
+    tasks = [asyncio.create_task(wait(f'late-{n}', 2)) for n in range(3)]
+    await asyncio.sleep(0)
+    tasks.append(asyncio.create_task(wait('urgent', 1)))
+    await asyncio.sleep(0)
+    gate.leave()
+    await asyncio.gather(*tasks)
+    assert order == ['urgent', 'late-0', 'late-1', 'late-2']
+    assert gate.running == 0
+
+
+async def test_places_are_given_back() -> None:
+    """Guards against places lost with callers that give up."""
+    gate = Gate()
+    gate.limit.current = 1
+    await gate.enter(1, 1_000)
+    leaving = asyncio.create_task(gate.enter(1, 1_000))
+    await asyncio.sleep(0)
+    leaving.cancel()
+    await asyncio.wait((leaving,))
+    try:
+        await gate.enter(1, 10)
+    except GateClosedError:
+        assert gate.waiting == 0
+    else:
+        raise AssertionError('entered a full gate')
+    gate.leave()
+    await gate.enter(1, 1_000)
+    gate.leave()
+    assert gate.running == 0
+
+
+async def test_deposed_leader_wakes_waiters() -> None:
+    """Guards against callers that wait for a leader that was replaced."""
+    gate = Gate()
+    gate.limit.current = 1
+    await gate.enter(1, 1_000)
+    waiting = asyncio.create_task(gate.enter(1, 10_000))
+    await asyncio.sleep(0)
+    gate.interrupt()
+    await asyncio.wait((waiting,))
+    assert isinstance(waiting.exception(), GateClosedError)
--- a/tests/test_manuals.py
+++ b/tests/test_manuals.py
@@ -1,7 +1,7 @@
 """Tests of the manuals against the code that they describe."""
 
-import asyncio
 import ast
+import asyncio
 import contextlib
 import pathlib
 import re
--- a/tests/test_platform_site.py
+++ b/tests/test_platform_site.py
@@ -106,8 +106,7 @@
     reply = await caller.run('READ item', 'later')
     assert reply.rows == [b'ROW new']
     assert all(
-        run.server_id != old.server_id
-        for run in _runs(platform_site, 'later')
+        run.server_id != old.server_id for run in _runs(platform_site, 'later')
     )
 
 
@@ -283,11 +282,11 @@
         route for route in document['routes'] if route['host'] != RECENT
     ]
     platform_site.platform.configure(document)
-    await _until(lambda: platform_site.nodes[0].table.version == 7, 3)
+    await _until(lambda: platform_site.nodes[0].catalog.table.version == 7, 3)
     assert (await caller.run('READ a')).code == 'NODB'
     platform_site.platform.configure(configuration(5))
     await asyncio.sleep(0.3)
-    assert platform_site.nodes[0].table.version == 7
+    assert platform_site.nodes[0].catalog.table.version == 7
 
 
 async def test_configuration_from_peers(platform_site: SiteStandIn) -> None:
@@ -295,7 +294,7 @@
     lonely = platform_site.nodes[2]
     await lonely._supervisor.stop_child('routes')
     platform_site.platform.configure(configuration(9))
-    await _until(lambda: lonely.table.version == 9, 3)
+    await _until(lambda: lonely.catalog.table.version == 9, 3)
 
 
 async def test_history_lost(platform_site: SiteStandIn) -> None:
@@ -305,7 +304,7 @@
     platform_site.platform.compact()
     await asyncio.sleep(0.2)
     platform_site.platform.faults.status = 0
-    await _until(lambda: platform_site.nodes[0].table.version == 3)
+    await _until(lambda: platform_site.nodes[0].catalog.table.version == 3)
 
 
 async def test_malformed_entry(platform_site: SiteStandIn) -> None:
@@ -330,7 +329,9 @@
     platform_site.platform.leave('somebody-else')
     for _ in range(10):
         assert not (await caller.run('READ a')).code
-    assert all(run.server_id != 'somebody-else' for run in platform_site.group.runs)
+    assert all(
+        run.server_id != 'somebody-else' for run in platform_site.group.runs
+    )
 
 
 # Failover.
@@ -375,7 +376,7 @@
     platform_site.platform.faults.lose_orders = 1
     platform_site.platform.faults.late_orders = 4
     await platform_site.leader.stop()
-    await _until(lambda: (platform_site.leader.server_id != 'db-0'))
+    await _until(lambda: platform_site.leader.server_id != 'db-0')
     new = platform_site.leader
     assert not (await caller.run('WRITE a 2')).code
     await asyncio.sleep(3)
@@ -417,7 +418,7 @@
         lonely = site.nodes[0]
         caller = await site.caller(CURRENT)
         assert not (await caller.run('READ a')).code
-        cluster = lonely.runner('ledger').cluster
+        cluster = lonely.catalog.runner('ledger').cluster
         leader = cluster.leader
         leader.lane.server = attrs_evolve(leader.lane.server)
         for session in tuple(site.leader.connections):
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -3,7 +3,6 @@
 import random
 
 import attrs
-
 from hypothesis import given, strategies
 
 from monsoonproxy.clock import Millis
--- /dev/null
+++ b/tests/test_verdicts.py
@@ -0,0 +1,105 @@
+"""Tests of the decisions about replacing a leader."""
+
+from monsoonproxy.models import Position
+from monsoonproxy.verdicts import (
+    Survey,
+    Tally,
+    Verdict,
+    choose_replacement,
+    choose_successor,
+)
+from tests.fixtures import load_functions
+
+load_tests = load_functions(__name__)
+
+
+def _tally(asked: int, missing: int, reaching: int) -> Tally:
+    tally = Tally(asked)
+    for number in range(missing):
+        tally.add(f'missing-{number}', reachable=False)
+    for number in range(reaching):
+        tally.add(f'reaching-{number}', reachable=True)
+    return tally
+
+
+def test_everybody_misses_it() -> None:
+    """Guards against a dead primary that is kept."""
+    tally = _tally(13, 6, 0)
+    assert tally.verdict() is Verdict.REPLACE
+    assert tally.is_settled
+
+
+def test_only_this_daemon_misses_it() -> None:
+    """Guards against a replacement because one daemon is cut off."""
+    tally = _tally(13, 0, 13)
+    assert tally.verdict() is Verdict.KEEP
+    assert tally.is_settled
+
+
+def test_some_miss_it() -> None:
+    """Guards against callers of many daemons without a primary."""
+    assert _tally(13, 4, 9).verdict() is Verdict.REPLACE
+    assert _tally(13, 1, 12).verdict() is Verdict.KEEP
+
+
+def test_silent_daemons_may_reach_it() -> None:
+    """Guards against a promotion on the smaller side of a partition.
+
+    Pattern: three of fourteen daemons are with the store and a replica, the
+    other eleven with the primary.
+    """
+    assert _tally(13, 2, 0).verdict() is Verdict.KEEP
+    assert _tally(13, 8, 0).verdict() is Verdict.REPLACE
+
+
+def test_nobody_to_ask() -> None:
+    """Guards against a single daemon that never replaces a primary."""
+    assert _tally(0, 0, 0).verdict() is Verdict.ALONE
+
+
+def test_verdict_is_stable() -> None:
+    """Guards against a verdict that a later opinion would change."""
+    for asked in range(1, 16):
+        for missing in range(asked + 1):
+            early = _tally(asked, missing, 0)
+            if early.verdict() is not Verdict.REPLACE:
+                continue
+            for late in range(asked - missing + 1):
+                full = _tally(asked, asked - late, late)
+                if late <= asked - missing:
+                    more = _tally(asked, missing, late)
+                    assert more.verdict() is Verdict.REPLACE
+                    assert full.verdict() is Verdict.REPLACE
+
+
+def test_longest_log_leads() -> None:
+    """Guards against acknowledged commits that a promotion rolls back."""
+    surveys = [
+        Survey('a', Position(1, 5), born=9),
+        Survey('b', Position(1, 7), leaving=True),
+        Survey('c', None),
+    ]
+    assert choose_successor(surveys) == 'b'
+    equal = [*surveys, Survey('d', Position(1, 7))]
+    assert choose_successor(equal) == 'd'
+    assert choose_successor([Survey('c', None)]) is None
+
+
+def test_synchronous_needs_all() -> None:
+    """Guards against a lost commit that one silent replica has (LOST)."""
+    surveys = [Survey('a', Position(1, 5)), Survey('c', None)]
+    assert choose_successor(surveys, needs_all=True) is None
+    assert choose_successor(surveys[:1], needs_all=True) == 'a'
+
+
+def test_replacement_is_complete_and_new() -> None:
+    """Guards against a hand-over that loses commits, or is done twice."""
+    reached = Position(1, 7)
+    surveys = [
+        Survey('old', Position(1, 7), born=1),
+        Survey('new', Position(1, 8), born=5),
+        Survey('newest', Position(1, 6), born=9),
+        Survey('leaving', Position(1, 8), leaving=True, born=7),
+    ]
+    assert choose_replacement(surveys, reached) == 'new'
+    assert choose_replacement(surveys[2:], reached) is None
