--- a/monsoonproxy/catalog.py
+++ b/monsoonproxy/catalog.py
@@ -11,7 +11,8 @@
 from monsoonproxy.routes import RouteTable, ServiceRules
 from monsoonproxy.running import Runner
 from monsoonproxy.servers import Server, ServerList
-from monsoonproxy.stores import Changes, Documents
+from monsoonproxy.snapshots import Snapshot, Wanted
+from monsoonproxy.stores import Change, Changes, Documents
 
 _log = log_for('catalog')
 
@@ -30,14 +31,17 @@
     def __init__(self, documents: Documents, shared: Surroundings) -> None:
         self.table: RouteTable | None = None
         self.runners: dict[str, Runner] = {}
-        #: Is told of a new configuration.
-        self.on_routes: Callable[[], None] = _do_nothing
+        #: Is told of a new configuration or new entries.
+        self.on_news: Callable[[], None] = _do_nothing
         #: Is told of a leader that may have failed.
         self.on_doubt: Callable[[Cluster, str], None] = _ignore
         self._documents = documents
         self._shared = shared
         self._servers = ServerList()
         self._plans: dict[str, Plan] = {}
+        #: The entries as they lie in the store, and their version.
+        self._entries: dict[str, bytes] = {}
+        self._stamp = 0
 
     def runner(self, service: str) -> Runner | None:
         """Return the runner of a service.
@@ -47,14 +51,40 @@
         """
         return self.runners.get(service)
 
-    def document(self) -> tuple[int, bytes]:
-        """Return version and document of the configuration in force.
+    def versions(self) -> tuple[int, int]:
+        """Return the versions of configuration and entries.
 
-        :returns: Version 0 if there is none yet.
+        :returns: Zeros for what is not known yet.
         """
-        if self.table is None:
-            return 0, b''
-        return self.table.version, self.table.document
+        return self.table.version if self.table else 0, self._stamp
+
+    def newer(self, wanted: Wanted) -> Snapshot:
+        """Return what is newer than what another daemon has.
+
+        :param wanted: What it has.
+        :returns: What it lacks.
+        """
+        configuration = b''
+        if self.table is not None and self.table.version > wanted.version:
+            configuration = self.table.document
+        if self._stamp <= wanted.stamp:
+            return Snapshot(configuration)
+        return Snapshot(configuration, self._stamp, self._entries)
+
+    def take(self, snapshot: Snapshot) -> None:
+        """Take over what another daemon has newer.
+
+        :param snapshot: What it sent.
+        """
+        if snapshot.configuration:
+            self.take_routes(snapshot.configuration)
+        if snapshot.stamp > self._stamp:
+            rows = tuple(
+                Change(key, content, snapshot.stamp)
+                for key, content in snapshot.entries.items()
+            )
+            changes = Changes(rows, snapshot.stamp)
+            self.take_servers(changes, whole=True, failed_at=Millis(0))
 
     def take_operator(self, changes: Changes, _whole: bool) -> None:
         """Take in the operator's row.
@@ -85,7 +115,7 @@
                 self._start(name, rules)
             else:
                 runner.cluster.rules = rules
-        self.on_routes()
+        self.on_news()
 
     def take_servers(
         self, changes: Changes, *, whole: bool, failed_at: Millis
@@ -99,10 +129,13 @@
         now = self._shared.clock.now()
         was_away = failed_at > 0 and now - failed_at < _LAPSE_WINDOW
         listed = []
+        before = self._stamp
         for row in changes.rows:
+            self._stamp = max(self._stamp, row.version)
             if row.content is None:
                 self._lose(row.key, now, was_away=was_away)
                 continue
+            self._entries[row.key] = row.content
             server = self._decode(row.key, row.content)
             if server is not None:
                 listed.append(server)
@@ -112,6 +145,8 @@
             gone = self._servers.replace_all(listed, now, was_away=was_away)
             for missing in gone:
                 self._drop(missing)
+        if self._stamp > before:
+            self.on_news()
 
     def expire(self) -> None:
         """Drop entries that lapsed and did not come back."""
@@ -162,6 +197,7 @@
 
     def _drop(self, server: Server) -> None:
         _log.info('{} of {} is gone', server.server_id, server.service)
+        self._entries.pop(server.server_id, None)
         runner = self.runners.get(server.service)
         if runner is not None:
             runner.cluster.remove(server.server_id)
--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -354,10 +354,13 @@
         :param member: The backend server.
         """
         name = member.server.server_id
+        was_believed = member is self.leader
         if self.leadership.refused(name, self.clock.now()):
             _log.info('{} does not lead any more', name)
-        member.lane.interrupt()
-        self._notify()
+        if was_believed:
+            # Callers that wait for it go to its successor.
+            member.lane.interrupt()
+            self._notify()
         self.search()
 
     def search(self) -> None:
--- a/monsoonproxy/gossip.py
+++ b/monsoonproxy/gossip.py
@@ -1,15 +1,16 @@
 """Sends and receives notices between daemons."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 from typing import Any
 
 from monsoonproxy import notices
 from monsoonproxy.clock import Clock, Millis, seconds
+from monsoonproxy.delegates import DELEGATE_INTERVAL
 from monsoonproxy.exceptions import PeerError
 from monsoonproxy.logs import log_for
 from monsoonproxy.neighbours import Neighbour, Neighbours
+from monsoonproxy.snapshots import Library, Sender, fetch
 
 _log = log_for('gossip')
 
@@ -18,12 +19,8 @@
 _ROUND = Millis(250)
 #: Daemons that are told of news at once; they tell others.
 FANOUT = 8
-#: Time in ms to fetch a configuration from another daemon.
-_FETCH_TIMEOUT = Millis(1_500)
 #: Pause in ms between two fetches, whoever has something newer.
 _FETCH_PAUSE = Millis(200)
-#: Greatest size in bytes of a fetched document.
-_MAX_DOCUMENT = 8 * 1024 * 1024
 
 Handle = Callable[[Any, str], None]
 
@@ -33,22 +30,28 @@
 
     :param own: This daemon, as others see it.
     :param neighbours: The other daemons.
+    :param library: What this daemon knows and others may fetch.
     :param clock: Source of time.
     """
 
     def __init__(
-        self, own: Neighbour, neighbours: Neighbours, clock: Clock
+        self,
+        own: Neighbour,
+        neighbours: Neighbours,
+        library: Library,
+        clock: Clock,
     ) -> None:
         self.name = own.name
         self.neighbours = neighbours
         self.leaving = False
-        #: Returns version and document of the configuration in force.
-        self.document: Callable[[], tuple[int, bytes]] = _nothing
-        #: Takes a document that another daemon has in force.
-        self.take_document: Callable[[bytes], None] = _ignore
+        #: Whether this daemon is to follow the store for others.
+        self.is_delegate = False
+        #: Whether this daemon is in touch with the store.
+        self.follows: Callable[[], bool] = _no
         #: Handlers of further notices, by type.
         self.handlers: dict[type, Handle] = {}
         self._own = own
+        self._library = library
         self._clock = clock
         self._transport: Any = None
         self._server: asyncio.Server | None = None
@@ -62,7 +65,7 @@
             lambda: self, local_addr=(host, int(port))
         )
         self._server = await loop.create_server(
-            lambda: _DocumentSender(self.document), host, int(port)
+            lambda: Sender(self._library), host, int(port)
         )
 
     async def run(self) -> None:
@@ -72,7 +75,10 @@
         while True:
             await asyncio.sleep(seconds(_ROUND))
             known = self.neighbours.all()
-            last = turn + len(known) * _ROUND / self.neighbours.interval
+            interval = self.neighbours.interval
+            if self.is_delegate:
+                interval = min(interval, DELEGATE_INTERVAL)
+            last = turn + len(known) * _ROUND / interval
             self.announce(known[int(turn) : int(last)])
             turn = last if last < len(known) else 0
 
@@ -89,7 +95,7 @@
         :param receivers: To whom.
         """
         own = self._own
-        version, _document = self.document()
+        version, stamp = self._library.versions()
         presence = notices.Presence(
             own.name,
             own.address,
@@ -97,6 +103,8 @@
             own.zone,
             own.started,
             version,
+            stamp,
+            self.follows(),
             self.leaving,
         )
         self.send(presence, *(known.address for known in receivers))
@@ -145,10 +153,10 @@
         known = self.neighbours.get(presence.sender)
         if known is None:
             return
-        version, _document = self.document()
-        if known.version > version:
+        version, stamp = self._library.versions()
+        if known.version > version or known.stamp > stamp:
             self._fetch(known)
-        if is_new or known.version < version:
+        if is_new or known.version < version or known.stamp < stamp:
             # It learns of this daemon, or that there is something newer.
             self.announce((known,))
 
@@ -159,48 +167,12 @@
 
     async def _fetch_from(self, known: Neighbour) -> None:
         try:
-            document = await fetch(known.address)
+            await fetch(known.address, self._library)
         except PeerError as exc:
             _log.info('Nothing fetched from {}: {}', known.name, exc)
-        else:
-            self.take_document(document)
         await asyncio.sleep(seconds(_FETCH_PAUSE))
 
 
-class _DocumentSender(asyncio.Protocol):
-    """Sends the document and closes."""
-
-    def __init__(self, document: Callable[[], tuple[int, bytes]]) -> None:
-        self._document = document
-
-    def connection_made(self, transport: Any) -> None:
-        transport.write(self._document()[1])
-        transport.close()
-
-
-async def fetch(address: str) -> bytes:
-    """Fetch the configuration that another daemon has in force.
-
-    :param address: ``ip:port`` of the daemon.
-    :returns: The document.
-    :raises PeerError: If it can't be fetched in time.
-    """
-    host, port = address.rsplit(':', 1)
-    try:
-        async with asyncio.timeout(seconds(_FETCH_TIMEOUT)):
-            reader, writer = await asyncio.open_connection(host, int(port))
-            with contextlib.closing(writer):
-                document = await reader.read(_MAX_DOCUMENT)
-                while chunk := await reader.read(_MAX_DOCUMENT):
-                    document += chunk
-    except (OSError, TimeoutError) as exc:
-        raise PeerError(f'{address}: {exc!r}') from exc
-    return document
-
-
-def _nothing() -> tuple[int, bytes]:
-    return 0, b''
-
-
-def _ignore(_document: bytes) -> None:
-    """Do nothing; stands in until somebody takes documents."""
+def _no() -> bool:
+    """Return ``False``; stands in until somebody follows the store."""
+    return False
--- a/monsoonproxy/neighbours.py
+++ b/monsoonproxy/neighbours.py
@@ -8,9 +8,10 @@
 from monsoonproxy.models import Host
 from monsoonproxy.notices import Presence
 
-#: Presences that a daemon sends per second at most. At 2,400 daemons this is
-#: 6 KB/s, half of what a daemon may spend for control.
-_PER_S = 50
+#: Presences that a daemon sends per second at most. They are 100 bytes each;
+#: news spread by themselves, and a lender that died is noticed when it is
+#: used, so presences need not be frequent.
+_PER_S = 10
 #: Least time in ms between two presences to the same daemon.
 _LEAST_INTERVAL = Millis(2_000)
 #: Intervals without a presence after which a daemon is taken for gone, since
@@ -29,6 +30,8 @@
     :param started: When it started, in ms since the Unix epoch.
     :param heard_at: When it was last heard, or ``None``.
     :param version: Version of the configuration that it has.
+    :param stamp: Version of the backend servers' entries that it has.
+    :param follows: Whether it follows the store.
     :param leaving: Whether it is about to stop.
     """
 
@@ -39,6 +42,8 @@
     started: int = 0
     heard_at: Millis | None = None
     version: int = 0
+    stamp: int = 0
+    follows: bool = False
     leaving: bool = False
 
 
@@ -107,6 +112,8 @@
         known.zone = presence.zone
         known.started = presence.started
         known.version = presence.version
+        known.stamp = presence.stamp
+        known.follows = presence.follows
         known.leaving = presence.leaving
         known.heard_at = now
         return is_new
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -4,6 +4,7 @@
 import random
 import signal
 
+from monsoonproxy import delegates
 from monsoonproxy.catalog import Catalog
 from monsoonproxy.clients import Clients
 from monsoonproxy.clock import Clock, Millis, seconds
@@ -18,7 +19,7 @@
 from monsoonproxy.models import Host, Outcome
 from monsoonproxy.neighbours import Neighbour, Neighbours
 from monsoonproxy.node_settings import NodeSettings
-from monsoonproxy.placement import Placement
+from monsoonproxy.placement import Placement, ranked
 from monsoonproxy.promotion import Promoter
 from monsoonproxy.queries import Answer, Code, Query
 from monsoonproxy.relays import Relay, wait_idle
@@ -78,6 +79,8 @@
         self._supervisor = Supervisor('node', clock)
         self._neighbours = Neighbours(settings.name, rng)
         self._placement = Placement()
+        self._hosts: frozenset[Host] = frozenset()
+        self._delegates: frozenset[str] = frozenset()
         self._links = Links(clock)
         self.catalog = Catalog(
             documents,
@@ -93,13 +96,14 @@
         )
         find = self.catalog.runner
         self._relay = Relay(find)
-        self._gossip = Gossip(self._own(), self._neighbours, clock)
-        self._gossip.document = self.catalog.document
-        self._gossip.take_document = self.catalog.take_routes
+        self._gossip = Gossip(
+            self._own(), self._neighbours, self.catalog, clock
+        )
+        self._gossip.follows = self._is_following
         jury = Jury(self._gossip, find, clock, rng)
         self._promoter = Promoter(store, self._gossip, jury, find, clock)
         self.catalog.on_doubt = self._promoter.doubt
-        self.catalog.on_routes = self._routes_changed
+        self.catalog.on_news = self._tell_news
         self._clients = Clients(
             self.catalog, dialect, clock, self, settings.max_callers
         )
@@ -151,7 +155,7 @@
 
         :returns: Values by name.
         """
-        version, _document = self.catalog.document()
+        version, _stamp = self.catalog.versions()
         return {
             'callers': len(self._clients.connections),
             'callers_busy': self._clients.busy,
@@ -217,12 +221,15 @@
     def _lenders(self, server: Server, count: int) -> tuple[Host, ...]:
         """Return the daemons that hold connections to a server.
 
-        Those in the own zone come first, since the way to them is short.
+        Those in the own zone come first, since the way to them is short. Of
+        these, each daemon prefers another one.
         """
-        zone = self._settings.availability_zone
+        settings = self._settings
         hosts = self._placement.holders(server.server_id, count)
+        preferred = ranked(settings.name, hosts)
+        zone = settings.availability_zone
         return tuple(
-            sorted(hosts, key=lambda host: host.availability_zone != zone)
+            sorted(preferred, key=lambda host: host.availability_zone != zone)
         )
 
     async def _register(self) -> None:
@@ -234,7 +241,6 @@
             try:
                 await self._store.put(Table.DAEMONS, settings.name, own)
                 listed = await self._store.read(Table.DAEMONS)
-                await self._promoter.tokens.load()
             except PlatformError as exc:
                 _log.info('Not registered yet: {}', exc)
                 await asyncio.sleep(seconds(_REGISTER_PAUSE))
@@ -242,7 +248,7 @@
             self._neighbours.add(row.key, (row.content or b'').decode())
         self._gossip.announce(self._neighbours.all())
 
-    def _routes_changed(self) -> None:
+    def _tell_news(self) -> None:
         now = self._clock.now()
         self._gossip.announce(self._neighbours.some(FANOUT, now))
         self._replan()
@@ -257,10 +263,42 @@
         own = Host(
             self._settings.relay_address, self._settings.availability_zone
         )
-        hosts = self._neighbours.hosts(self._clock.now()) | {own}
-        self._placement.update(hosts)
+        now = self._clock.now()
+        hosts = self._neighbours.hosts(now) | {own}
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._placement.update(hosts)
+            self._delegates = delegates.chosen(hosts)
+            self._gossip.is_delegate = own.address in self._delegates
         self.catalog.replan(len(hosts))
 
+    def _is_following(self) -> bool:
+        return (
+            self._routes_follower.connected and self._servers_follower.connected
+        )
+
+    async def _delegate(self) -> None:
+        """Follow the store, or leave that to other daemons."""
+        followers = {
+            'routes': self._routes_follower,
+            'servers': self._servers_follower,
+        }
+        must = delegates.must_follow(
+            self._settings.relay_address,
+            self._delegates,
+            self._neighbours.alive(self._clock.now()),
+            self._clock.now(),
+        )
+        running = self._supervisor.children()
+        for name, follower in followers.items():
+            if must and name not in running:
+                _log.info('Following {} again', name)
+                self._supervisor.start_child(name, follower.run)
+            elif name in running and not must and follower.connected:
+                _log.info('Leaving {} to other daemons', name)
+                await self._supervisor.stop_child(name)
+                follower.connected = False
+
     async def _drain(self) -> None:
         """Finish what was begun, within the time until SIGKILL."""
         clock, grace = self._clock, self._settings.grace
@@ -290,6 +328,7 @@
                 self._clients.end_idle_transactions(limit)
             self.catalog.expire()
             self._replan()
+            await self._delegate()
             for runner in self.catalog.runners.values():
                 self._promoter.look_for_leaving(runner)
 
--- a/monsoonproxy/notices.py
+++ b/monsoonproxy/notices.py
@@ -26,6 +26,8 @@
     :param zone: Availability zone that its host is in.
     :param started: When it started, in ms since the Unix epoch.
     :param version: Version of the configuration that it has in force.
+    :param stamp: Version of the backend servers' entries that it has.
+    :param follows: Whether it follows the store.
     :param leaving: Whether it is about to stop.
     """
 
@@ -34,6 +36,8 @@
     zone: str
     started: int
     version: int
+    stamp: int
+    follows: bool
     leaving: bool = False
 
 
--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -121,25 +121,23 @@
     async def _resolve(self, runner: Runner, member: Member) -> None:
         """Replace a missing leader, or wait until it is back."""
         began = self._clock.now()
-        token = self.tokens.newest(runner.cluster.rules.name)
         while self._still_leads(runner.cluster, member):
             verdict = await self._judge(runner, member)
             if verdict is None:
                 break
             if self._clock.now() - began > _ALONE_AFTER:
                 verdict = _decide_alone(verdict)
-            if await self._carry_out(runner, member, verdict, token):
+            if await self._carry_out(runner, member, verdict):
                 break
-            token = self.tokens.newest(runner.cluster.rules.name)
             await asyncio.sleep(seconds(_RETRY_PAUSE))
         runner.leaders.mark_unreachable(None)
 
     async def _carry_out(
-        self, runner: Runner, member: Member, verdict: Verdict, token: int
+        self, runner: Runner, member: Member, verdict: Verdict
     ) -> bool:
         """Act on a verdict; return whether there is a leader."""
         if verdict is Verdict.REPLACE:
-            return await self._replace(runner, member, token)
+            return await self._replace(runner, member)
         if verdict is Verdict.KEEP:
             runner.leaders.mark_unreachable(member.server.server_id)
         return False
@@ -172,16 +170,13 @@
             await asyncio.sleep(seconds(_PROBE_PAUSE))
         return True
 
-    async def _replace(
-        self, runner: Runner, member: Member, token_before: int
-    ) -> bool:
+    async def _replace(self, runner: Runner, member: Member) -> bool:
         """Promote another backend server; return whether there is a leader."""
         cluster = runner.cluster
         service = cluster.rules.name
         cluster.not_leading(member)
         await asyncio.sleep(seconds(self._rank(service) * _RANK_DELAY))
-        if self.tokens.newest(service) > token_before:
-            # Another daemon has ordered a promotion meanwhile.
+        if self._is_under_way(service):
             return await _taken_over(cluster)
         if cluster.leadership.leader is not None:
             return True
@@ -212,6 +207,9 @@
 
     async def _order(self, service: str, target: str, token: int) -> bool:
         for _ in range(_ORDER_TRIES):
+            if self.tokens.newest(service) > token:
+                _log.info('Token {} for {} is outdated', token, service)
+                return False
             try:
                 await self._store.promote(service, target, self._name, token)
             except FencedError as exc:
@@ -235,10 +233,8 @@
     async def _hand_over(self, runner: Runner, leader: Member) -> None:
         cluster = runner.cluster
         service = cluster.rules.name
-        token_before = self.tokens.newest(service)
         await asyncio.sleep(seconds(self._rank(service) * _PLANNED_RANK_DELAY))
-        if self.tokens.newest(service) > token_before:
-            await asyncio.sleep(seconds(TAKEOVER_LIMIT))
+        if self._is_under_way(service):
             return
         target = await self._replacement(cluster, leader)
         if target is None:
@@ -264,6 +260,11 @@
             await cluster.probe(leader)
             await asyncio.sleep(seconds(_PROBE_PAUSE))
 
+    def _is_under_way(self, service: str) -> bool:
+        """Tell whether another daemon has ordered a promotion lately."""
+        now = self._clock.now()
+        return self.tokens.taken_by_other(service, TAKEOVER_LIMIT, now)
+
     def _rank(self, service: str) -> int:
         """Return the place of this daemon among those that are alive."""
         now = self._clock.now()
@@ -277,7 +278,9 @@
     def _take_succession(
         self, succession: notices.Succession, _address: str
     ) -> None:
-        self.tokens.heard(succession.service, succession.token)
+        self.tokens.heard(
+            succession.service, succession.token, self._clock.now()
+        )
         runner = self._find(succession.service)
         if runner is not None:
             cluster = runner.cluster
--- a/monsoonproxy/remotes.py
+++ b/monsoonproxy/remotes.py
@@ -29,9 +29,11 @@
 #: Longest time in ms to reach another daemon, far above any round trip.
 _CONNECT_TIMEOUT = Millis(700)
 #: Time in ms without any answer of a daemon after which it is not used for a
-#: while, and how long that is.
+#: while, and how long that is; doubles with each further failure.
 _LENDER_SILENCE = Millis(600)
-_LENDER_PAUSE = Millis(2_000)
+_LENDER_PAUSE = Millis(1_000)
+_LONGEST_LENDER_PAUSE = Millis(16_000)
+_MOST_FAILURES = 8
 #: Share of the time left for one lender while there are others.
 _FIRST_SHARE = 0.5
 
@@ -52,6 +54,7 @@
         self._reader = forwards.Reader()
         self._transport: Any = None
         self._connecting: asyncio.Task[None] | None = None
+        self._failures = 0
         self._waiting: dict[int, asyncio.Future[forwards.Response]] = {}
 
     @property
@@ -61,7 +64,9 @@
 
     def avoid(self) -> None:
         """Do not use the daemon for a while."""
-        self.unused_until = Millis(self._clock.now() + _LENDER_PAUSE)
+        pause = min(_LONGEST_LENDER_PAUSE, _LENDER_PAUSE << self._failures)
+        self._failures = min(self._failures + 1, _MOST_FAILURES)
+        self.unused_until = Millis(self._clock.now() + pause)
 
     async def ask(
         self, server: Server, claim: Claim
@@ -145,6 +150,7 @@
             _log.warning('Closed {}: {}', self.address, exc)
             self.close()
             return
+        self._failures = 0
         for message in messages:
             waiter = self._waiting.pop(message.stream, None)
             if waiter is not None and not waiter.done():
--- /dev/null
+++ b/monsoonproxy/snapshots.py
@@ -0,0 +1,110 @@
+"""What daemons fetch from each other: configuration and backend servers."""
+
+import asyncio
+import contextlib
+from typing import Any, Protocol
+
+import msgspec
+
+from monsoonproxy.clock import Millis, seconds
+from monsoonproxy.exceptions import PeerError
+
+#: Time in ms to fetch from another daemon.
+_TIMEOUT = Millis(1_500)
+#: Greatest size in bytes of what is fetched.
+_MOST_BYTES = 8 * 1024 * 1024
+_LENGTH_BYTES = 4
+
+
+class Wanted(msgspec.Struct, frozen=True, array_like=True):
+    """What the asking daemon has already.
+
+    :param version: Version of its configuration.
+    :param stamp: Version of its backend servers' entries.
+    """
+
+    version: int
+    stamp: int
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """What the asking daemon lacks.
+
+    :param configuration: The document, or nothing.
+    :param stamp: Version of the entries, or 0 for none.
+    :param entries: All entries by identity, as they lie in the store.
+    """
+
+    configuration: bytes = b''
+    stamp: int = 0
+    entries: dict[str, bytes] = {}  # noqa: RUF012 - copied by the library
+
+
+class Library(Protocol):
+    """What a daemon knows."""
+
+    def versions(self) -> tuple[int, int]:
+        """Return the versions of configuration and entries."""
+
+    def newer(self, wanted: Wanted) -> Snapshot:
+        """Return what is newer than what another daemon has."""
+
+    def take(self, snapshot: Snapshot) -> None:
+        """Take over what is newer."""
+
+
+class Sender(asyncio.Protocol):
+    """Answers one request and closes.
+
+    :param library: What this daemon knows.
+    """
+
+    def __init__(self, library: Library) -> None:
+        self._library = library
+        self._received = b''
+        self._transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Answer once the request is complete."""
+        self._received += data
+        size = int.from_bytes(self._received[:_LENGTH_BYTES], 'big')
+        body = self._received[_LENGTH_BYTES:]
+        if len(self._received) < _LENGTH_BYTES or len(body) < size:
+            return
+        with contextlib.suppress(msgspec.MsgspecError):
+            wanted = msgspec.msgpack.decode(body, type=Wanted)
+            snapshot = self._library.newer(wanted)
+            self._transport.write(msgspec.msgpack.encode(snapshot))
+        self._transport.close()
+
+
+async def fetch(address: str, library: Library) -> None:
+    """Fetch from another daemon what is newer there.
+
+    :param address: ``ip:port`` of the daemon.
+    :param library: What this daemon knows.
+    :raises PeerError: If it can't be fetched in time.
+    """
+    request = msgspec.msgpack.encode(Wanted(*library.versions()))
+    try:
+        async with asyncio.timeout(seconds(_TIMEOUT)):
+            answer = await _call(address, request)
+        snapshot = msgspec.msgpack.decode(answer, type=Snapshot)
+    except (OSError, TimeoutError, msgspec.MsgspecError) as exc:
+        raise PeerError(f'{address}: {exc!r}') from exc
+    library.take(snapshot)
+
+
+async def _call(address: str, request: bytes) -> bytes:
+    host, port = address.rsplit(':', 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    with contextlib.closing(writer):
+        writer.write(len(request).to_bytes(_LENGTH_BYTES, 'big') + request)
+        answer = b''
+        while chunk := await reader.read(_MOST_BYTES):
+            answer += chunk
+    return answer
--- a/monsoonproxy/tokenbook.py
+++ b/monsoonproxy/tokenbook.py
@@ -3,6 +3,7 @@
 import attrs
 import msgspec
 
+from monsoonproxy.clock import Millis
 from monsoonproxy.exceptions import PlatformError
 from monsoonproxy.logs import log_for
 from monsoonproxy.stores import Change, Store, Table
@@ -28,11 +29,18 @@
 
 @attrs.define
 class _Known:
-    """The last row seen, and the greatest token heard of."""
+    """The last row seen, and the greatest token that another daemon told.
+
+    :param version: Version of the row.
+    :param token: Token in the row.
+    :param heard: Greatest token told.
+    :param heard_at: When it was told, or ``None``.
+    """
 
     version: int = 0
     token: int = 0
     heard: int = 0
+    heard_at: Millis | None = None
 
 
 class TokenBook:
@@ -49,6 +57,7 @@
         self._name = name
         self._store = store
         self._known: dict[str, _Known] = {}
+        self._loaded = False
 
     def newest(self, service: str) -> int:
         """Return the greatest token heard of.
@@ -59,23 +68,38 @@
         known = self._known.get(service)
         return max(known.token, known.heard) if known else 0
 
-    def heard(self, service: str, token: int) -> None:
+    def heard(self, service: str, token: int, now: Millis) -> None:
         """Take in a token that another daemon told.
 
         :param service: Name of the service.
         :param token: The token.
+        :param now: The time.
         """
         known = self._known.setdefault(service, _Known())
-        known.heard = max(known.heard, token)
+        if token > self.newest(service):
+            known.heard = token
+            known.heard_at = now
 
-    async def load(self) -> None:
-        """Read the tokens that are in the store.
+    def taken_by_other(self, service: str, within: Millis, now: Millis) -> bool:
+        """Tell whether another daemon has taken the newest token lately.
 
-        :raises PlatformError: If the store does not answer.
+        :param service: Name of the service.
+        :param within: How long ago at most, in ms.
+        :param now: The time.
+        :returns: Whether its promotion may still be under way.
         """
-        changes = await self._store.read(Table.TOKENS)
-        for row in changes.rows:
-            self._take(row.key, row)
+        known = self._known.get(service)
+        if known is None or known.heard_at is None:
+            return False
+        return known.heard >= known.token and now - known.heard_at < within
+
+    async def _load(self) -> None:
+        """Read the tokens that are in the store, once."""
+        if not self._loaded:
+            changes = await self._store.read(Table.TOKENS)
+            for row in changes.rows:
+                self._take(row.key, row)
+            self._loaded = True
 
     async def claim(self, service: str, server_id: str) -> int | None:
         """Take the next token.
@@ -86,6 +110,7 @@
         :raises PlatformError: If the store does not answer. The token may be
             taken nevertheless, which does no harm.
         """
+        await self._load()
         known = self._known.setdefault(service, _Known())
         entry = _Entry(self._name, self.newest(service) + 1, server_id)
         content = msgspec.json.encode(entry)
