--- /dev/null
+++ b/tests/test_platform_configuration.py
@@ -0,0 +1,70 @@
+"""Tests of configuration and the databases' entries in whole daemons."""
+
+import asyncio
+
+from stand_ins.site import CURRENT, RECENT, SiteStandIn, configuration
+
+from tests.fixtures import load_functions
+from tests.platform_sites import until, version
+
+load_tests = load_functions(__name__)
+
+
+async def test_configuration_in_force(platform_site: SiteStandIn) -> None:
+    """Guards against a dropped route that is still served (CONFIG)."""
+    caller = await platform_site.caller(RECENT)
+    document = configuration(7)
+    document['routes'] = [
+        route for route in document['routes'] if route['host'] != RECENT
+    ]
+    platform_site.platform.configure(document)
+    await until(lambda: version(platform_site.nodes[0]) == 7, 3)
+    assert (await caller.run('READ a')).code == 'NODB'
+    platform_site.platform.configure(configuration(5))
+    await asyncio.sleep(0.3)
+    assert version(platform_site.nodes[0]) == 7
+
+
+async def test_configuration_from_peers(platform_site: SiteStandIn) -> None:
+    """Guards against a daemon that the store turns away (CONFIG)."""
+    lonely = platform_site.nodes[2]
+    await lonely._supervisor.stop_child('routes')
+    platform_site.platform.configure(configuration(9))
+    await until(lambda: version(lonely) == 9, 3)
+
+
+async def test_history_lost(platform_site: SiteStandIn) -> None:
+    """Guards against changes that a feed without history misses (CONFIG)."""
+    platform_site.platform.faults.status = 503
+    platform_site.platform.configure(configuration(3))
+    platform_site.platform.compact()
+    await asyncio.sleep(0.2)
+    platform_site.platform.faults.status = 0
+    await until(lambda: version(platform_site.nodes[0]) == 3)
+
+
+async def test_malformed_entry(platform_site: SiteStandIn) -> None:
+    """Guards against an entry of another writer that can't be read."""
+    for key, content in (
+        ('bad-1', b'\xff\x00'),
+        ('bad-2', b'{"service": "ledger"}'),
+        ('bad-3', b'{"service":"ledger","addr":7,"zone":"z","state":"ready"}'),
+    ):
+        platform_site.platform.put('servers', key, content)
+    caller = await platform_site.caller(CURRENT)
+    assert not (await caller.run('READ a')).code
+
+
+async def test_address_of_another_server(platform_site: SiteStandIn) -> None:
+    """Guards against a request to whoever has the address now (ROUTE)."""
+    caller = await platform_site.caller(RECENT)
+    replica = platform_site.databases[1]
+    replica.server_id = 'somebody-else'
+    await replica.stop()
+    await replica.restart()
+    platform_site.platform.leave('somebody-else')
+    for _ in range(10):
+        assert not (await caller.run('READ a')).code
+    assert all(
+        run.server_id != 'somebody-else' for run in platform_site.group.runs
+    )
--- /dev/null
+++ b/tests/test_platform_failover.py
@@ -0,0 +1,99 @@
+"""Tests of failover and hand-over by whole daemons."""
+
+import asyncio
+import time
+
+import attrs
+from stand_ins.site import CURRENT, SERVICE, SiteStandIn
+
+from tests.fixtures import load_functions
+from tests.platform_sites import until
+
+load_tests = load_functions(__name__)
+
+
+async def test_primary_killed(platform_site: SiteStandIn) -> None:
+    """Guards against a primary that nobody replaces, and a double order."""
+    callers = [await platform_site.caller(CURRENT, n) for n in range(3)]
+    assert not (await callers[0].run('WRITE a 1')).code
+    await asyncio.sleep(0.1)
+    await platform_site.leader.stop()
+    started = time.monotonic()
+    replies = await asyncio.gather(
+        *(caller.run('WRITE a 2') for caller in callers)
+    )
+    assert [reply.code for reply in replies] == ['', '', '']
+    assert time.monotonic() - started < 10
+    tokens = [order[3] for order in platform_site.platform.orders]
+    assert len(set(tokens)) == len(tokens) == 1
+    assert not platform_site.group.rolled_back
+
+
+async def test_primary_silent(platform_site: SiteStandIn) -> None:
+    """Guards against a primary that accepts connections and answers nothing."""
+    caller = await platform_site.caller(CURRENT)
+    assert not (await caller.run('WRITE a 1')).code
+    await asyncio.sleep(0.1)
+    platform_site.leader.faults.silent = True
+    old = platform_site.leader
+    for session in tuple(old.connections):
+        session.abort()
+    await asyncio.sleep(0.1)
+    reply = await caller.run('WRITE a 2')
+    assert not reply.code, reply
+    assert platform_site.leader is not old
+
+
+async def test_order_lost_and_late(platform_site: SiteStandIn) -> None:
+    """Guards against a late order that replaces a newer leader (ONE)."""
+    caller = await platform_site.caller(CURRENT)
+    assert not (await caller.run('WRITE a 1')).code
+    platform_site.platform.faults.lose_orders = 1
+    platform_site.platform.faults.late_orders = 4
+    await platform_site.leader.stop()
+    await until(lambda: platform_site.leader.server_id != 'db-0')
+    new = platform_site.leader
+    assert not (await caller.run('WRITE a 2')).code
+    await asyncio.sleep(3)
+    assert platform_site.leader is new
+    tokens = [order[3] for order in platform_site.platform.orders]
+    assert tokens == sorted(tokens)
+
+
+async def test_claim_answer_lost(platform_site: SiteStandIn) -> None:
+    """Guards against a claim that its own daemon takes for another's."""
+    caller = await platform_site.caller(CURRENT)
+    assert not (await caller.run('WRITE a 1')).code
+    platform_site.platform.faults.lose_writes = 1
+    await platform_site.leader.stop()
+    await until(lambda: platform_site.leader.server_id != 'db-0')
+    assert not (await caller.run('WRITE a 2')).code
+
+
+async def test_leader_leaves(platform_site: SiteStandIn) -> None:
+    """Guards against requests to a primary after its time (DRAIN)."""
+    old = platform_site.leader
+    caller = await platform_site.caller(CURRENT)
+    assert not (await caller.run('WRITE a 1')).code
+    await platform_site.add_database()
+    old.state = 'draining'
+    platform_site.platform.enter(old)
+    await until(lambda: platform_site.leader is not old, 5)
+    assert platform_site.leader.server_id == 'db-3'
+    assert not (await caller.run('WRITE a 2')).code
+    assert not platform_site.group.rolled_back
+
+
+async def test_one_daemon_cut_off(larger_site: SiteStandIn) -> None:
+    """Guards against a replacement since one daemon misses the leader."""
+    caller = await larger_site.caller(CURRENT)
+    assert not (await caller.run('READ a')).code
+    runner = larger_site.nodes[0].catalog.runners[SERVICE]
+    lane = runner.cluster.members[larger_site.leader.server_id].direct
+    # From now on, this daemon finds nobody at the leader's address.
+    lane.server = attrs.evolve(lane.server, address='127.0.0.1:9')
+    for session in tuple(larger_site.leader.connections):
+        session.abort()
+    reply = await caller.run('READ a')
+    assert reply.code == 'BUSY'
+    assert not larger_site.platform.orders
