Log each failed or late statement with what decided it

Cause: on-call engineers have only logs; a line said how a statement ended, but not which floor, bound and tries had decided that. Conclusion: structured fields; the volume stays bounded by the output.

--- a/monsoonproxy/clients.py
+++ b/monsoonproxy/clients.py
@@ -33,7 +33,7 @@
         conversation: Conversation,
         query: Query,
         answer: Answer,
-        took: int,
+        took: Millis,
     ) -> None:
         """Take in the end of a statement."""
 
@@ -272,7 +272,7 @@
             return
         started = self._clients.clock.now()
         answer = await conversation.run(query)
-        took = self._clients.clock.now() - started
+        took = Millis(self._clients.clock.now() - started)
         self._clients.watcher.ended(conversation, query, answer, took)
         self._write(answer)
 
--- a/monsoonproxy/conversations.py
+++ b/monsoonproxy/conversations.py
@@ -50,6 +50,9 @@
         self.database = database
         self.session = session
         self.transaction: Transaction | None = None
+        #: The statement in work, or the latest one; ``None`` if the daemon
+        #: answered it alone.
+        self.job: Job | None = None
         #: Route of the open transaction, which a change does not touch.
         self._route: Route | None = None
         self._services = services
@@ -71,6 +74,7 @@
         :param query: The statement.
         :returns: The answer.
         """
+        self.job = None
         ends = query.verb in {Verb.COMMIT, Verb.ROLLBACK}
         transaction = self.transaction
         if transaction is not None and transaction.failed and not ends:
@@ -196,7 +200,7 @@
         is_read: bool,
         prepared: Prepared | None = None,
     ) -> Job:
-        return Job(
+        self.job = Job(
             query.request_id,
             text,
             is_read,
@@ -205,6 +209,7 @@
             self._clock.now(),
             prepared,
         )
+        return self.job
 
     def _current(self) -> tuple[Route | None, Runner | None]:
         table = self._services.table
--- a/monsoonproxy/jobs.py
+++ b/monsoonproxy/jobs.py
@@ -59,6 +59,7 @@
     :param prepared: The prepared statement that it runs, if any.
     :param tried: Backend servers that it was offered to, and how that ended.
     :param refusals: How often nothing could be done.
+    :param floor: Position that its answer had to reflect, if it is a read.
     :param sent: Whether it may have run.
     :param given_up: Whether the caller has its answer already.
     """
@@ -72,6 +73,7 @@
     prepared: Prepared | None = None
     tried: dict[str, str] = attrs.Factory(dict)
     refusals: int = 0
+    floor: Position | None = None
     sent: bool = False
     given_up: bool = False
 
--- a/monsoonproxy/juries.py
+++ b/monsoonproxy/juries.py
@@ -9,9 +9,12 @@
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.clusters import Member
 from monsoonproxy.gossip import Gossip
+from monsoonproxy.logs import log_for
 from monsoonproxy.running import Runner
 from monsoonproxy.verdicts import Tally, Verdict
 
+_log = log_for('jury')
+
 #: Daemons that are asked about a leader.
 _JURY = 16
 #: Longest wait in ms for their opinions, and how often a question is sent.
@@ -73,7 +76,16 @@
                 break
         self._tallies.pop(number)
         self._settled.pop(number)
-        return tally.verdict()
+        verdict = tally.verdict()
+        _log.bind(
+            service=service,
+            server=server_id,
+            asked=tally.asked,
+            missing=len(tally.missing),
+            reaching=len(tally.reaching),
+            verdict=verdict.value,
+        ).info('Others asked about a leader')
+        return verdict
 
     def _choose(self) -> list[str]:
         alive = self._gossip.neighbours.alive(self._clock.now())
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -9,19 +9,18 @@
 from monsoonproxy.clients import Clients
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.clusters import Surroundings
-from monsoonproxy.conversations import Conversation
 from monsoonproxy.dialects import Dialect
 from monsoonproxy.exceptions import PlatformError
 from monsoonproxy.following import Follower
 from monsoonproxy.gossip import FANOUT, Gossip
 from monsoonproxy.juries import Jury
 from monsoonproxy.logs import log_for
-from monsoonproxy.models import Host, Outcome
+from monsoonproxy.models import Host
 from monsoonproxy.neighbours import Neighbour, Neighbours
 from monsoonproxy.node_settings import NodeSettings
+from monsoonproxy.observing import Observer
 from monsoonproxy.placement import Placement, ranked
 from monsoonproxy.promotion import Promoter
-from monsoonproxy.queries import Answer, Code, Query
 from monsoonproxy.relays import Relay, wait_idle
 from monsoonproxy.remotes import Links
 from monsoonproxy.servers import Server
@@ -43,12 +42,6 @@
 _REGISTER_PAUSE = 500
 #: Time in ms between two lines with what was counted.
 _REPORT = Millis(5_000)
-_OUTCOMES = {
-    None: Outcome.ANSWERED,
-    Code.FAILED: Outcome.FAILED,
-    Code.IN_DOUBT: Outcome.UNKNOWN,
-    Code.TIMEOUT: Outcome.UNKNOWN,
-}
 #: A task that has nothing left to do may return.
 _ONCE = RestartRule(restart=Restart.TRANSIENT)
 
@@ -106,7 +99,11 @@
         self.catalog.on_doubt = self._promoter.doubt
         self.catalog.on_news = self._tell_news
         self._clients = Clients(
-            self.catalog, dialect, clock, self, settings.max_callers
+            self.catalog,
+            dialect,
+            clock,
+            Observer(self._telemetry),
+            settings.max_callers,
         )
         self._routes_follower = Follower(
             store, Table.CONFIGURATION, self.catalog.take_operator, clock
@@ -120,33 +117,6 @@
         """Tell whether new callers should come here."""
         return self.catalog.table is not None and not self._stopping.is_set()
 
-    def ended(
-        self,
-        conversation: Conversation,
-        query: Query,
-        answer: Answer,
-        took: int,
-    ) -> None:
-        """Take in the end of a statement."""
-        table = self.catalog.table
-        route = table and table.routes.get(conversation.database)
-        if route:
-            self._telemetry.record(
-                route.service,
-                route.freshness.value,
-                _OUTCOMES.get(answer.code, Outcome.NOT_RUN),
-                Millis(took),
-            )
-        if answer.code is not None:
-            _log.info(
-                'request {} on {}: {} {} after {} ms',
-                query.request_id.decode(errors='replace'),
-                conversation.database,
-                answer.code.value,
-                answer.reason,
-                took,
-            )
-
     def metrics_text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return self._telemetry.text(self.gauges()).encode()
--- a/monsoonproxy/reading.py
+++ b/monsoonproxy/reading.py
@@ -10,11 +10,14 @@
 from monsoonproxy.exceptions import ConnectionLostError
 from monsoonproxy.jobs import NOT_RUN, Job
 from monsoonproxy.lanes import Claim
+from monsoonproxy.logs import log_for
 from monsoonproxy.models import Position
 from monsoonproxy.queries import OWN_ID, Answer, Code, TransactionState
 from monsoonproxy.routes import Freshness
 from monsoonproxy.running import LATE_ANSWER, NOT_LEASED, Runner
 
+_log = log_for('read')
+
 #: A read that is not answered after this many times the usual time is sent to
 #: another backend server as well.
 _HEDGE_FACTOR = 6
@@ -79,11 +82,20 @@
             self._attempts.add(task)
             if pending:
                 self._cluster.telemetry.count('reads_hedged')
+                _log.bind(**self._fields()).debug('Read sent again')
         elif not pending:
             self._lagging = Code.LAGGING.value in self._job.tried.values()
             self._job.tried.clear()
             await self._runner.pause(self._job)
 
+    def _fields(self) -> dict[str, object]:
+        job = self._job
+        return {
+            'request': job.request_id.decode(errors='replace'),
+            'waited_ms': self._runner.clock.now() - job.arrived,
+            'tried': job.tried,
+        }
+
     def _may_attempt(self, pending: int) -> bool:
         if not self._job.needs_leader or not pending:
             return pending < _MOST_ATTEMPTS
--- a/monsoonproxy/running.py
+++ b/monsoonproxy/running.py
@@ -132,10 +132,10 @@
             self.spawn(self.leaders.sample(self.left(job)))
         floor = samples.required(max_age, self.clock.now())
         own = job.session.floor
-        if floor is None or own is None:
-            return floor
-        if job.route.freshness is Freshness.SESSION:
-            return max(floor, own)
+        if floor is not None and own is not None:
+            if job.route.freshness is Freshness.SESSION:
+                floor = max(floor, own)
+        job.floor = floor
         return floor
 
     def judge_session(self, lease: Lease, answer: Answer) -> None:
