Borrow connections of other daemons when cut off or starved

Cause: a daemon that a leader or replica silently stopped answering, or that found all connections of a server taken after a mass start, held its callers until it could connect itself, although other daemons had connections. Ruled out: refusing at once (callers that can be served are turned away) and more connections a daemon (the limit of the server is the cause). Change: such a daemon uses connections lent by up to eight living daemons, as daemons without own connections do already. Members moved to a module.

--- a/monsoonproxy/catalog.py
+++ b/monsoonproxy/catalog.py
@@ -3,10 +3,11 @@
 from collections.abc import Callable
 
 from monsoonproxy.clock import Millis
-from monsoonproxy.clusters import Cluster, Surroundings
+from monsoonproxy.clusters import Cluster
 from monsoonproxy.exceptions import ConfigurationError
 from monsoonproxy.leaders import Leaders
 from monsoonproxy.logs import log_for
+from monsoonproxy.members import Surroundings
 from monsoonproxy.plans import Plan, make_plan
 from monsoonproxy.routes import RouteTable, ServiceRules
 from monsoonproxy.running import Runner
--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -8,12 +8,10 @@
 import attrs
 
 from monsoonproxy import floors, selection
-from monsoonproxy.clock import Clock, Millis, seconds
-from monsoonproxy.dialects import Dialect
+from monsoonproxy.clock import Millis, seconds
 from monsoonproxy.exceptions import ConnectionLostError
 from monsoonproxy.lanes import (
     Claim,
-    DirectLane,
     Lane,
     LaneFullError,
     ServerGoneError,
@@ -21,13 +19,12 @@
 )
 from monsoonproxy.leadership import Leadership
 from monsoonproxy.logs import log_for
-from monsoonproxy.models import Host, Position, Role
+from monsoonproxy.members import Member, MemberMaker, Surroundings
+from monsoonproxy.models import Position, Role
 from monsoonproxy.plans import Plan
 from monsoonproxy.queries import OWN_ID, Answer, Code, TransactionState
-from monsoonproxy.remotes import Links, RemoteLane
 from monsoonproxy.routes import ServiceRules
 from monsoonproxy.servers import Server
-from monsoonproxy.telemetry import Telemetry
 from monsoonproxy.watches import SILENCE, Watch
 
 _log = log_for('cluster')
@@ -40,34 +37,6 @@
     """A backend server refused a transaction since it does not lead."""
 
 
-@attrs.define
-class Member:
-    """A backend server with its connections and what is known about it.
-
-    :param server: Its entry.
-    :param lane: The connections in use, own or lent.
-    :param direct: Own connections, which may also be lent.
-    :param record: Measurements.
-    :param answered_at: When it last answered.
-    :param silent_since: Since when an answer is overdue, or ``None``.
-    """
-
-    server: Server
-    lane: Lane
-    direct: DirectLane
-    record: selection.Record = attrs.Factory(selection.Record)
-    answered_at: Millis = Millis(0)
-    silent_since: Millis | None = None
-
-    def answered(self, now: Millis) -> None:
-        """Take in a sign of life.
-
-        :param now: When it came.
-        """
-        self.answered_at = now
-        self.silent_since = None
-
-
 @attrs.define
 class Lease:
     """A connection in use.
@@ -90,29 +59,6 @@
     clean: bool = False
 
 
-@attrs.frozen
-class Surroundings:
-    """What the clusters of a daemon share.
-
-    :param dialect: Protocol of the backend servers.
-    :param zone: Availability zone of the daemon.
-    :param clock: Source of time.
-    :param telemetry: Counts what happens.
-    :param links: Connections to other daemons.
-    :param relay: Where this daemon lends connections.
-    :param lenders: Returns the daemons that hold connections to a server, the
-        best first, of which there are as many as asked for.
-    """
-
-    dialect: Dialect
-    zone: str
-    clock: Clock
-    telemetry: Telemetry
-    links: Links
-    relay: str
-    lenders: Callable[[Server, int], tuple[Host, ...]]
-
-
 class Cluster:
     """Connections, positions and leader of one service.
 
@@ -134,7 +80,7 @@
         self.on_leaderless: Callable[[], None] = _do_nothing
         self.leaderless_since: Millis | None = None
         self._shared = shared
-        self._plan = Plan()
+        self._maker = MemberMaker(rules, shared)
         self._changed = asyncio.Event()
 
     @property
@@ -153,15 +99,9 @@
 
         :param plan: The new plan.
         """
-        self._plan = plan
+        self._maker.plan = plan
         for member in self.members.values():
-            connects = self._connects(member.server)
-            rules = plan.pool_rules(self.rules, connects=connects)
-            member.direct.reconfigure(rules)
-            if connects != (member.lane is member.direct):
-                member.lane = self._make_lane(member)
-                member.lane.on_failure = partial(self.doubt, member)
-                member.lane.warm_up()
+            self._maker.adapt(member)
 
     def put(self, server: Server) -> None:
         """Add a backend server, or take in what it says of itself now.
@@ -191,7 +131,7 @@
         member = self.members.pop(server_id, None)
         if member is None:
             return
-        member.lane.close()
+        member.borrowed.close()
         member.direct.close()
         self.leadership.gone(server_id)
         self._notify()
@@ -199,7 +139,7 @@
     def close(self) -> None:
         """Close all connections."""
         for member in self.members.values():
-            member.lane.abort()
+            member.borrowed.abort()
             member.direct.abort()
 
     def options(self) -> Iterator[selection.Option]:
@@ -235,11 +175,9 @@
         :param claim: What it is needed for.
         :yields: The lease.
         """
-        lease = await self.acquire(member, claim)
-        try:
+        lane = self._maker.usable_lane(member)
+        async with self._leased(member, lane, claim) as lease:
             yield lease
-        finally:
-            self.release(lease)
 
     async def acquire(self, member: Member, claim: Claim) -> Lease:
         """Lease a connection.
@@ -248,7 +186,9 @@
         :param claim: What it is needed for.
         :returns: The lease.
         """
-        return await self._acquire(member, member.lane, claim)
+        return await self._acquire(
+            member, self._maker.usable_lane(member), claim
+        )
 
     async def lend(self, member: Member, claim: Claim) -> Lease:
         """Lease an own connection for another daemon.
@@ -256,7 +196,10 @@
         :param member: The backend server.
         :param claim: What it is needed for.
         :returns: The lease.
+        :raises LaneFullError: If this daemon has no connection itself.
         """
+        if member.is_cut_off or member.direct.is_starved:
+            raise LaneFullError(f'{member.server.address}: none to lend')
         return await self._acquire(member, member.direct, claim)
 
     def release(self, lease: Lease) -> None:
@@ -402,17 +345,22 @@
                 await changed.wait()
 
     async def probe(
-        self, member: Member, limit: float = PROBE_TIMEOUT
+        self,
+        member: Member,
+        limit: float = PROBE_TIMEOUT,
+        lane: Lane | None = None,
     ) -> Answer | None:
         """Ask a backend server whether it leads; this needs no slot.
 
         :param member: The backend server.
         :param limit: Longest wait in ms.
+        :param lane: The connections to use, if not any.
         :returns: The answer, or ``None`` if it can't be reached.
         """
         self.telemetry.count('probes')
+        lane = lane or self._maker.usable_lane(member)
         try:
-            async with self.leased(member, Claim(limit)) as lease:
+            async with self._leased(member, lane, Claim(limit)) as lease:
                 answer = await self.begin(lease, limit)
                 text = self.dialect.rollback()
                 await self.own_statement(lease, text, limit)
@@ -423,41 +371,23 @@
         except (ConnectionLostError, LaneFullError, ServerGoneError):
             return None
 
+    @contextlib.asynccontextmanager
+    async def _leased(
+        self, member: Member, lane: Lane, claim: Claim
+    ) -> AsyncIterator[Lease]:
+        lease = await self._acquire(member, lane, claim)
+        try:
+            yield lease
+        finally:
+            self.release(lease)
+
     def _add(self, server: Server) -> None:
-        direct = self._direct_lane(server)
-        member = Member(server, direct, direct)
-        member.lane = self._make_lane(member)
-        member.lane.on_failure = partial(self.doubt, member)
+        member = self._maker.make(server)
+        member.direct.on_failure = partial(self.doubt, member)
+        member.borrowed.on_failure = partial(self.doubt, member)
         self.members[server.server_id] = member
         member.lane.warm_up()
 
-    def _connects(self, server: Server) -> bool:
-        """Tell whether this daemon has connections of its own to a server."""
-        if not self._plan.is_shared:
-            return True
-        lenders = self._shared.lenders(server, self._plan.lenders)
-        return any(host.address == self._shared.relay for host in lenders)
-
-    def _make_lane(self, member: Member) -> Lane:
-        if self._connects(member.server):
-            return member.direct
-        return RemoteLane(
-            member.server,
-            lambda: self._shared.lenders(member.server, self._plan.lenders),
-            self._shared.links,
-            self.dialect,
-            self.clock,
-            self.telemetry,
-        )
-
-    def _direct_lane(self, server: Server) -> DirectLane:
-        rules = self._plan.pool_rules(
-            self.rules, connects=self._connects(server)
-        )
-        return DirectLane(
-            server, self.dialect, rules, self.clock, self.telemetry
-        )
-
     async def _acquire(self, member: Member, lane: Lane, claim: Claim) -> Lease:
         with self._watched(member):
             try:
--- a/monsoonproxy/juries.py
+++ b/monsoonproxy/juries.py
@@ -7,9 +7,9 @@
 
 from monsoonproxy import notices
 from monsoonproxy.clock import Clock, Millis, seconds
-from monsoonproxy.clusters import Member
 from monsoonproxy.gossip import Gossip
 from monsoonproxy.logs import log_for
+from monsoonproxy.members import Member
 from monsoonproxy.running import Runner
 from monsoonproxy.verdicts import Tally, Verdict
 
--- a/monsoonproxy/lanes.py
+++ b/monsoonproxy/lanes.py
@@ -23,6 +23,9 @@
 
 #: Time in ms between two looks at failed opens and idle connections.
 _TICK = Millis(100)
+#: Time in ms after a failed open in which a lane without connections is not
+#: waited for, if others may lend some. Opens are tried each 200 ms.
+_STARVED_FOR = Millis(700)
 
 
 class ServerGoneError(MonsoonError):
@@ -155,8 +158,9 @@
         self.server = server
         self.gate = Gate()
         self.gone = False
-        #: When a connection was last refused.
+        #: When a connection was last refused, and when for their number.
         self.refused_at = Millis(0)
+        self.over_limit_at = Millis(0)
         #: Is told when no connection can be opened.
         self.on_failure: Callable[[], None] = _ignore
         self._telemetry = telemetry
@@ -179,6 +183,14 @@
         """Tell whether there is any connection."""
         return bool(self._wires)
 
+    @property
+    def is_starved(self) -> bool:
+        """Tell whether there is no connection and none could be opened."""
+        if self._wires:
+            return False
+        failed_at = max(self.refused_at, self.over_limit_at)
+        return failed_at > 0 and self._clock.now() - failed_at < _STARVED_FOR
+
     def warm_up(self) -> None:
         """Open the connections that are kept ahead of need."""
         self._tick()
@@ -375,6 +387,7 @@
         self._pool.open_failed(too_many=too_many, now=now)
         if too_many:
             self._telemetry.count('connections_over_limit')
+            self.over_limit_at = now
             return
         self._telemetry.count('connections_failed')
         self.refused_at = now
--- a/monsoonproxy/leaders.py
+++ b/monsoonproxy/leaders.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from monsoonproxy.clock import Millis, seconds
-from monsoonproxy.clusters import PROBE_TIMEOUT, Cluster, Member
+from monsoonproxy.clusters import PROBE_TIMEOUT, Cluster
 from monsoonproxy.exceptions import ConnectionLostError
-from monsoonproxy.lanes import DirectLane
+from monsoonproxy.members import Member
 from monsoonproxy.wires import open_wire
 
 #: Longest time in ms in which a leader is replaced: detection, orders that
@@ -28,7 +28,6 @@
 
     def __init__(self, cluster: Cluster) -> None:
         self._cluster = cluster
-        self._unreachable: str | None = None
         self._searches: dict[str, asyncio.Task[None]] = {}
         self._sampling: asyncio.Task[bool] | None = None
         cluster.on_leaderless = self.search
@@ -43,19 +42,12 @@
         cluster = self._cluster
         leader = cluster.leader
         if leader is not None:
-            return leader.server.server_id == self._unreachable
+            return leader.is_cut_off and not leader.borrowed.is_open
         since = cluster.leaderless_since
         if since is None:
             return False
         return cluster.clock.now() - since > TAKEOVER_LIMIT
 
-    def mark_unreachable(self, server_id: str | None) -> None:
-        """Note that only this daemon can't reach the leader.
-
-        :param server_id: Identity of the leader; ``None`` if it is reached.
-        """
-        self._unreachable = server_id
-
     def search(self) -> None:
         """Look for the leader until one accepts a transaction."""
         loop = asyncio.get_running_loop()
@@ -90,8 +82,9 @@
         :returns: Whether it answered.
         """
         cluster = self._cluster
-        if member.lane.has_idle or not isinstance(member.lane, DirectLane):
-            return await cluster.probe(member, limit) is not None
+        lane = member.lane
+        if lane.has_idle or lane is not member.direct:
+            return await cluster.probe(member, limit, lane) is not None
         if cluster.clock.now() - member.answered_at < _OPEN_TO_PROBE:
             await asyncio.sleep(seconds(_SEARCH_PAUSE))
             return True
--- /dev/null
+++ b/monsoonproxy/members.py
@@ -0,0 +1,155 @@
+"""Backend servers with the connections to them."""
+
+from collections.abc import Callable
+
+import attrs
+
+from monsoonproxy import selection
+from monsoonproxy.clock import Clock, Millis
+from monsoonproxy.dialects import Dialect
+from monsoonproxy.lanes import DirectLane, Lane
+from monsoonproxy.models import Host
+from monsoonproxy.plans import Plan
+from monsoonproxy.remotes import Links, RemoteLane
+from monsoonproxy.routes import ServiceRules
+from monsoonproxy.servers import Server
+from monsoonproxy.telemetry import Telemetry
+
+#: Daemons among which a daemon without connections of its own looks for a
+#: lender, where all have some.
+_FALLBACK_LENDERS = 8
+
+
+@attrs.define
+class Member:
+    """A backend server with its connections and what is known about it.
+
+    :param server: Its entry.
+    :param lane: The connections in use, own or lent.
+    :param direct: Own connections, which may also be lent.
+    :param borrowed: Connections of other daemons, for when there are no own
+        ones.
+    :param is_cut_off: Whether others reach it and this daemon does not.
+    :param record: Measurements.
+    :param answered_at: When it last answered.
+    :param silent_since: Since when an answer is overdue, or ``None``.
+    """
+
+    server: Server
+    lane: Lane
+    direct: DirectLane
+    borrowed: RemoteLane
+    is_cut_off: bool = False
+    record: selection.Record = attrs.Factory(selection.Record)
+    answered_at: Millis = Millis(0)
+    silent_since: Millis | None = None
+
+    def answered(self, now: Millis) -> None:
+        """Take in a sign of life.
+
+        :param now: When it came.
+        """
+        self.answered_at = now
+        self.silent_since = None
+
+
+@attrs.frozen
+class Surroundings:
+    """What the clusters of a daemon share.
+
+    :param dialect: Protocol of the backend servers.
+    :param zone: Availability zone of the daemon.
+    :param clock: Source of time.
+    :param telemetry: Counts what happens.
+    :param links: Connections to other daemons.
+    :param relay: Where this daemon lends connections.
+    :param lenders: Returns the daemons that hold connections to a server, the
+        best first, of which there are as many as asked for.
+    """
+
+    dialect: Dialect
+    zone: str
+    clock: Clock
+    telemetry: Telemetry
+    links: Links
+    relay: str
+    lenders: Callable[[Server, int], tuple[Host, ...]]
+
+
+class MemberMaker:
+    """Decides which connections lead to a backend server.
+
+    :param rules: Declaration of the service.
+    :param shared: What the clusters of a daemon share.
+    """
+
+    def __init__(self, rules: ServiceRules, shared: Surroundings) -> None:
+        self.plan = Plan()
+        self._rules = rules
+        self._shared = shared
+
+    def make(self, server: Server) -> Member:
+        """Prepare the connections to a backend server.
+
+        :param server: Its entry.
+        :returns: The backend server, without any open connection.
+        """
+        shared = self._shared
+        connects = self._connects(server)
+        direct = DirectLane(
+            server,
+            shared.dialect,
+            self.plan.pool_rules(self._rules, connects=connects),
+            shared.clock,
+            shared.telemetry,
+        )
+        borrowed = RemoteLane(
+            server,
+            lambda: self._lenders(server),
+            shared.links,
+            shared.dialect,
+            shared.clock,
+            shared.telemetry,
+        )
+        lane = direct if connects else borrowed
+        return Member(server, lane, direct, borrowed)
+
+    def adapt(self, member: Member) -> None:
+        """Follow a change of the plan or of the daemons.
+
+        :param member: The backend server.
+        """
+        connects = self._connects(member.server)
+        rules = self.plan.pool_rules(self._rules, connects=connects)
+        member.direct.reconfigure(rules)
+        if connects != (member.lane is member.direct):
+            member.lane = member.direct if connects else member.borrowed
+            member.lane.warm_up()
+
+    def usable_lane(self, member: Member) -> Lane:
+        """Return the connections to use now.
+
+        :param member: The backend server.
+        :returns: Those of other daemons if there are none of its own.
+        """
+        starved = member.lane is member.direct and member.direct.is_starved
+        if (member.is_cut_off or starved) and member.borrowed.is_open:
+            self._shared.telemetry.count('borrowed')
+            return member.borrowed
+        return member.lane
+
+    def _connects(self, server: Server) -> bool:
+        """Tell whether this daemon has connections of its own to a server."""
+        if not self.plan.is_shared:
+            return True
+        lenders = self._shared.lenders(server, self.plan.lenders)
+        return any(host.address == self._shared.relay for host in lenders)
+
+    def _lenders(self, server: Server) -> tuple[Host, ...]:
+        """Return the other daemons that hold connections to a server."""
+        count = self.plan.lenders or _FALLBACK_LENDERS
+        return tuple(
+            host
+            for host in self._shared.lenders(server, count)
+            if host.address != self._shared.relay
+        )
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -8,13 +8,13 @@
 from monsoonproxy.catalog import Catalog
 from monsoonproxy.clients import Clients
 from monsoonproxy.clock import Clock, Millis, seconds
-from monsoonproxy.clusters import Surroundings
 from monsoonproxy.dialects import Dialect
 from monsoonproxy.exceptions import PlatformError
 from monsoonproxy.following import Follower
 from monsoonproxy.gossip import FANOUT, Gossip
 from monsoonproxy.juries import Jury
 from monsoonproxy.logs import log_for
+from monsoonproxy.members import Surroundings
 from monsoonproxy.models import Host
 from monsoonproxy.neighbours import Neighbour, Neighbours
 from monsoonproxy.node_settings import NodeSettings
--- a/monsoonproxy/pinned.py
+++ b/monsoonproxy/pinned.py
@@ -4,10 +4,11 @@
 
 from monsoonproxy import selection
 from monsoonproxy.clock import Millis
-from monsoonproxy.clusters import Cluster, Lease, Member, NotLeadingError
+from monsoonproxy.clusters import Cluster, Lease, NotLeadingError
 from monsoonproxy.exceptions import ConnectionLostError
 from monsoonproxy.jobs import NOT_RUN, Job
 from monsoonproxy.lanes import Claim
+from monsoonproxy.members import Member
 from monsoonproxy.models import Position
 from monsoonproxy.queries import Answer, Code, TransactionState
 from monsoonproxy.reading import runs_at_leader
--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -7,7 +7,7 @@
 
 from monsoonproxy import notices
 from monsoonproxy.clock import Clock, Millis, seconds
-from monsoonproxy.clusters import Cluster, Member
+from monsoonproxy.clusters import Cluster
 from monsoonproxy.dialects import Dialect
 from monsoonproxy.exceptions import (
     DialectError,
@@ -19,6 +19,7 @@
 from monsoonproxy.lanes import Claim
 from monsoonproxy.leaders import TAKEOVER_LIMIT
 from monsoonproxy.logs import log_for
+from monsoonproxy.members import Member
 from monsoonproxy.models import Position
 from monsoonproxy.queries import Answer
 from monsoonproxy.running import NO_CONNECTION, Runner
@@ -130,7 +131,7 @@
             if await self._carry_out(runner, member, verdict):
                 break
             await asyncio.sleep(seconds(_RETRY_PAUSE))
-        runner.leaders.mark_unreachable(None)
+        member.is_cut_off = False
 
     async def _carry_out(
         self, runner: Runner, member: Member, verdict: Verdict
@@ -138,8 +139,8 @@
         """Act on a verdict; return whether there is a leader."""
         if verdict is Verdict.REPLACE:
             return await self._replace(runner, member)
-        if verdict is Verdict.KEEP:
-            runner.leaders.mark_unreachable(member.server.server_id)
+        # Others reach it: statements go through them meanwhile.
+        member.is_cut_off = verdict is Verdict.KEEP
         return False
 
     def _still_leads(self, cluster: Cluster, member: Member) -> bool:
--- a/monsoonproxy/reading.py
+++ b/monsoonproxy/reading.py
@@ -6,11 +6,12 @@
 
 from monsoonproxy import selection
 from monsoonproxy.clock import seconds
-from monsoonproxy.clusters import Lease, Member, NotLeadingError
+from monsoonproxy.clusters import Lease, NotLeadingError
 from monsoonproxy.exceptions import ConnectionLostError
 from monsoonproxy.jobs import NOT_RUN, Job
 from monsoonproxy.lanes import Claim
 from monsoonproxy.logs import log_for
+from monsoonproxy.members import Member
 from monsoonproxy.models import Position
 from monsoonproxy.queries import OWN_ID, Answer, Code, TransactionState
 from monsoonproxy.routes import Freshness
--- a/monsoonproxy/writing.py
+++ b/monsoonproxy/writing.py
@@ -3,9 +3,10 @@
 import asyncio
 
 from monsoonproxy.clock import seconds
-from monsoonproxy.clusters import Lease, Member
+from monsoonproxy.clusters import Lease
 from monsoonproxy.jobs import NOT_RUN, Job
 from monsoonproxy.lanes import Claim
+from monsoonproxy.members import Member
 from monsoonproxy.queries import Answer, Code, TransactionState
 from monsoonproxy.running import (
     BUSY_PAUSE,
