--- a/emulator/cluster.py
+++ b/emulator/cluster.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from typing import Any
 
 import aiohttp
@@ -60,6 +60,7 @@
     :param arguments: Its command line, for a restart.
     :param control: Address of its control port, if it has one.
     :param log: File with its output.
+    :param environment: Further environment variables.
     """
 
     name: str
@@ -67,6 +68,7 @@
     arguments: tuple[str, ...]
     log: pathlib.Path
     control: str = ''
+    environment: Mapping[str, str] = attrs.Factory(dict)
     process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
@@ -76,7 +78,9 @@
                 *self.arguments,
                 stdout=output,
                 stderr=output,
-                env=os.environ | {'MONSOONPROXY_LOGIN': 'proxy:'},
+                env=os.environ
+                | {'MONSOONPROXY_LOGIN': 'proxy:'}
+                | dict(self.environment),
             )
 
     def send_signal(self, number: int) -> None:
