Borrow only from daemons that said they reach the leader

Change: a daemon that misses its leader lends only from those that answered the question about it and reach it; if nobody does, it refuses at once. The test of it fails without the change (the read waited for its time limit).

--- a/monsoonproxy/juries.py
+++ b/monsoonproxy/juries.py
@@ -11,7 +11,7 @@
 from monsoonproxy.logs import log_for
 from monsoonproxy.members import Member
 from monsoonproxy.running import Runner
-from monsoonproxy.verdicts import Tally, Verdict
+from monsoonproxy.verdicts import Finding, Tally
 
 _log = log_for('jury')
 
@@ -54,12 +54,12 @@
         gossip.handlers[notices.Question] = self._take_question
         gossip.handlers[notices.Opinion] = self._take_opinion
 
-    async def ask(self, service: str, server_id: str) -> Verdict:
+    async def ask(self, service: str, server_id: str) -> Finding:
         """Ask other daemons whether they miss a leader too.
 
         :param service: Name of the service.
         :param server_id: Identity of the leader.
-        :returns: What to do.
+        :returns: What to do, and who reaches it.
         """
         asked = self._choose()
         number = next(self._numbers)
@@ -85,7 +85,7 @@
             reaching=len(tally.reaching),
             verdict=verdict.value,
         ).info('Others asked about a leader')
-        return verdict
+        return Finding(verdict, frozenset(tally.reaching))
 
     def _choose(self) -> list[str]:
         alive = self._gossip.neighbours.alive(self._clock.now())
--- a/monsoonproxy/members.py
+++ b/monsoonproxy/members.py
@@ -16,8 +16,8 @@
 from monsoonproxy.telemetry import Telemetry
 
 #: Daemons among which a daemon without connections of its own looks for a
-#: lender, where all have some.
-_FALLBACK_LENDERS = 8
+#: lender, where all have some; as many as are asked about a leader.
+_FALLBACK_LENDERS = 16
 
 
 @attrs.define
--- a/monsoonproxy/neighbours.py
+++ b/monsoonproxy/neighbours.py
@@ -1,6 +1,7 @@
 """The other daemons that a daemon knows."""
 
 import random
+from collections.abc import Iterable
 
 import attrs
 
@@ -118,6 +119,16 @@
         known.heard_at = now
         return is_new
 
+    def relays_of(self, names: Iterable[str]) -> frozenset[str]:
+        """Return where daemons lend connections.
+
+        :param names: Their names.
+        :returns: Addresses of those that are known.
+        """
+        wanted = set(names)
+        known = (each for each in self.all() if each.name in wanted)
+        return frozenset(each.relay for each in known if each.relay)
+
     def suspect(self, relay: str) -> None:
         """Take a daemon for gone until it is heard again.
 
--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -26,10 +26,12 @@
 from monsoonproxy.stores import Store
 from monsoonproxy.tokenbook import TokenBook
 from monsoonproxy.verdicts import (
+    Finding,
     Survey,
     Verdict,
     choose_replacement,
     choose_successor,
+    decided_alone,
 )
 
 _log = log_for('promotion')
@@ -123,24 +125,27 @@
         """Replace a missing leader, or wait until it is back."""
         began = self._clock.now()
         while self._still_leads(runner.cluster, member):
-            verdict = await self._judge(runner, member)
-            if verdict is None:
+            finding = await self._judge(runner, member)
+            if finding is None:
                 break
             if self._clock.now() - began > _ALONE_AFTER:
-                verdict = _decide_alone(verdict)
-            if await self._carry_out(runner, member, verdict):
+                finding = decided_alone(finding)
+            if await self._carry_out(runner, member, finding):
                 break
             await asyncio.sleep(seconds(_RETRY_PAUSE))
         member.is_cut_off = False
+        member.borrowed.restrict(None)
 
     async def _carry_out(
-        self, runner: Runner, member: Member, verdict: Verdict
+        self, runner: Runner, member: Member, finding: Finding
     ) -> bool:
-        """Act on a verdict; return whether there is a leader."""
-        if verdict is Verdict.REPLACE:
+        """Act on a finding; return whether there is a leader."""
+        if finding.verdict is Verdict.REPLACE:
             return await self._replace(runner, member)
-        # Others reach it: statements go through them meanwhile.
-        member.is_cut_off = verdict is Verdict.KEEP
+        # Statements go through the daemons that reach it meanwhile.
+        neighbours = self._gossip.neighbours
+        member.borrowed.restrict(neighbours.relays_of(finding.reaching))
+        member.is_cut_off = finding.verdict is Verdict.KEEP
         return False
 
     def _still_leads(self, cluster: Cluster, member: Member) -> bool:
@@ -148,16 +153,16 @@
         known = cluster.members.get(name) is member
         return known and cluster.leadership.leader in {name, None}
 
-    async def _judge(self, runner: Runner, member: Member) -> Verdict | None:
+    async def _judge(self, runner: Runner, member: Member) -> Finding | None:
         """Decide about a leader; return ``None`` if it answers."""
         service, name = runner.cluster.rules.name, member.server.server_id
-        missing, verdict = await asyncio.gather(
+        missing, finding = await asyncio.gather(
             self._is_missing(runner, member), self._jury.ask(service, name)
         )
         if not missing:
             return None
-        _log.info('{} is missing; verdict: {}', name, verdict.value)
-        return verdict
+        _log.info('{} is missing; verdict: {}', name, finding.verdict.value)
+        return finding
 
     async def _is_missing(self, runner: Runner, member: Member) -> bool:
         """Tell whether a backend server gives no sign of life."""
@@ -289,10 +294,6 @@
             cluster.search()
 
 
-def _decide_alone(verdict: Verdict) -> Verdict:
-    return Verdict.REPLACE if verdict is Verdict.ALONE else verdict
-
-
 def _others(cluster: Cluster, member: Member) -> list[Member]:
     return [other for other in cluster.members.values() if other is not member]
 
--- a/monsoonproxy/remotes.py
+++ b/monsoonproxy/remotes.py
@@ -310,6 +310,7 @@
         self.refused_at = Millis(0)
         self.on_failure: Callable[[], None] = _ignore
         self._lenders = lenders
+        self._only: frozenset[str] | None = None
         self._links = links
         self._dialect = dialect
         self._clock = clock
@@ -326,7 +327,15 @@
     @property
     def is_open(self) -> bool:
         """Tell whether some daemon may lend connections."""
-        return bool(self._lenders())
+        return bool(self._candidates())
+
+    def restrict(self, relays: frozenset[str] | None) -> None:
+        """Ask certain daemons only.
+
+        :param relays: Addresses of those that reach the backend server; all
+            may be asked if ``None``.
+        """
+        self._only = relays
 
     def warm_up(self) -> None:
         """Do nothing; lenders open their connections themselves."""
@@ -381,8 +390,18 @@
         for number in tuple(self._wires):
             self.release(number, single=False, clean=False)
 
+    def _candidates(self) -> tuple[Host, ...]:
+        hosts = self._lenders()
+        if self._only is None:
+            return hosts
+        if not self._only:
+            return ()
+        # Where few daemons hold connections, others reach the backend server
+        # through these without having any to lend.
+        return tuple(h for h in hosts if h.address in self._only) or hosts
+
     def _links_to_ask(self) -> list[Link]:
-        hosts = self._lenders()[:_LENDERS_ASKED]
+        hosts = self._candidates()[:_LENDERS_ASKED]
         return [self._links.to(host.address) for host in hosts]
 
     async def _ask(self, link: Link, claim: Claim) -> tuple[int, RemoteWire]:
--- a/monsoonproxy/verdicts.py
+++ b/monsoonproxy/verdicts.py
@@ -68,6 +68,29 @@
         return Verdict.REPLACE if enough and missing >= silent else Verdict.KEEP
 
 
+@attrs.frozen
+class Finding:
+    """What the other daemons say about a leader.
+
+    :param verdict: What to do.
+    :param reaching: Names of those that reach it.
+    """
+
+    verdict: Verdict
+    reaching: frozenset[str] = frozenset()
+
+
+def decided_alone(finding: Finding) -> Finding:
+    """Decide after a while without anybody to ask.
+
+    :param finding: What the others said.
+    :returns: The same, or that the leader is to be replaced.
+    """
+    if finding.verdict is Verdict.ALONE:
+        return Finding(Verdict.REPLACE)
+    return finding
+
+
 @attrs.frozen
 class Survey:
     """What a possible successor answered.
--- a/tests/test_platform_failover.py
+++ b/tests/test_platform_failover.py
@@ -11,6 +11,9 @@
 
 load_tests = load_functions(__name__)
 
+#: Time in s for an answer that needs nobody else.
+_AT_ONCE = 0.1
+
 
 async def test_primary_killed(platform_site: SiteStandIn) -> None:
     """Guards against a primary that nobody replaces, and a double order."""
@@ -98,3 +101,18 @@
     # The others lend it their connections.
     assert not reply.code, reply
     assert not larger_site.platform.orders
+
+
+async def test_cut_off_from_everyone(larger_site: SiteStandIn) -> None:
+    """Guards against waits for a leader that nobody who answers reaches."""
+    caller = await larger_site.caller(CURRENT)
+    assert not (await caller.run('READ a')).code
+    runner = larger_site.nodes[0].catalog.runners[SERVICE]
+    member = runner.cluster.members[larger_site.leader.server_id]
+    await until(lambda: member.borrowed.is_open)
+    member.is_cut_off = True
+    reply = await caller.run('READ a')
+    assert not reply.code, reply
+    member.borrowed.restrict(frozenset())
+    async with asyncio.timeout(_AT_ONCE):
+        assert (await caller.run('READ a')).code == 'BUSY'
