Compress the configuration that daemons fetch from each other

Such a document has 378 kB; eight daemons that fetch it at once from one with a link of 5 Mbit/s need 4.8 s, but each gives up after 1.5 s and starts anew. Ruled out: the store (4,000 Mbit/s) and decoding (some ms). Change: it is kept and sent compressed, 33 kB: 0.4 s for all eight. Before: test_large_configuration_fits_a_slow_link fails for the plain document (4.3 s of link time against 1.5 s for 2,000 routes; 0.3 s compressed). After: passes.

--- a/monsoonproxy/catalog.py
+++ b/monsoonproxy/catalog.py
@@ -12,7 +12,7 @@
 from monsoonproxy.routes import RouteTable, ServiceRules
 from monsoonproxy.running import Runner
 from monsoonproxy.servers import Server, ServerList
-from monsoonproxy.snapshots import Snapshot, Wanted
+from monsoonproxy.snapshots import Snapshot, Wanted, pack, unpack
 from monsoonproxy.stores import Change, Changes, Documents
 
 _log = log_for('catalog')
@@ -43,6 +43,8 @@
         #: The entries as they lie in the store, and their version.
         self._entries: dict[str, bytes] = {}
         self._stamp = 0
+        #: The configuration in force as other daemons fetch it.
+        self._packed = b''
 
     def runner(self, service: str) -> Runner | None:
         """Return the runner of a service.
@@ -67,7 +69,7 @@
         """
         configuration = b''
         if self.table is not None and self.table.version > wanted.version:
-            configuration = self.table.document
+            configuration = self._packed
         if self._stamp <= wanted.stamp:
             return Snapshot(configuration)
         return Snapshot(configuration, self._stamp, self._entries)
@@ -76,9 +78,10 @@
         """Take over what another daemon has newer.
 
         :param snapshot: What it sent.
+        :raises PeerError: If it is damaged.
         """
         if snapshot.configuration:
-            self.take_routes(snapshot.configuration)
+            self.take_routes(unpack(snapshot.configuration))
         if snapshot.stamp > self._stamp:
             rows = tuple(
                 Change(key, content, snapshot.stamp)
@@ -109,6 +112,7 @@
         if self.table is not None and table.version <= self.table.version:
             return
         self.table = table
+        self._packed = pack(content)
         _log.info('Configuration {} in force', table.version)
         for name, rules in table.services.items():
             runner = self.runners.get(name)
--- a/monsoonproxy/routes.py
+++ b/monsoonproxy/routes.py
@@ -66,11 +66,9 @@
     :param services: Services by name.
     :param idle_transaction: Time in ms after which a transaction without a
         statement may be ended.
-    :param document: The document it was decoded from, for other daemons.
     """
 
     version: int
     routes: Mapping[str, Route] = attrs.Factory(dict)
     services: Mapping[str, ServiceRules] = attrs.Factory(dict)
     idle_transaction: Millis = Millis(3_000)
-    document: bytes = b''
--- a/monsoonproxy/snapshots.py
+++ b/monsoonproxy/snapshots.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import zlib
 from typing import Any, Protocol
 
 import msgspec
@@ -14,6 +15,8 @@
 #: Greatest size in bytes of what is fetched.
 _MOST_BYTES = 8 * 1024 * 1024
 _LENGTH_BYTES = 4
+#: Level of compression, which takes 6 ms for 2,000 routes.
+_QUICK = 1
 
 
 class Wanted(msgspec.Struct, frozen=True, array_like=True):
@@ -30,7 +33,7 @@
 class Snapshot(msgspec.Struct, frozen=True, array_like=True):
     """What the asking daemon lacks.
 
-    :param configuration: The document, or nothing.
+    :param configuration: The compressed document, or nothing.
     :param stamp: Version of the entries, or 0 for none.
     :param entries: All entries by identity, as they lie in the store.
     """
@@ -40,6 +43,32 @@
     entries: dict[str, bytes] = {}  # noqa: RUF012 - copied by the library
 
 
+def pack(document: bytes) -> bytes:
+    """Compress a document, for hosts with slow links.
+
+    :param document: The document.
+    :returns: The compressed document; JSON shrinks to about a tenth.
+    """
+    return zlib.compress(document, _QUICK)
+
+
+def unpack(packed: bytes) -> bytes:
+    """Return a document as it was.
+
+    :param packed: The compressed document.
+    :returns: The document.
+    :raises PeerError: If it is damaged or too large.
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        document = unpacker.decompress(packed, _MOST_BYTES)
+    except zlib.error as exc:
+        raise PeerError(f'damaged document: {exc}') from exc
+    if not unpacker.eof:
+        raise PeerError('the document is cut short or too large')
+    return document
+
+
 class Library(Protocol):
     """What a daemon knows."""
 
--- /dev/null
+++ b/tests/test_snapshots.py
@@ -0,0 +1,55 @@
+"""Tests of what daemons fetch from each other."""
+
+import json
+import random
+
+from stand_ins.site import configuration
+
+from monsoonproxy.exceptions import PeerError
+from monsoonproxy.snapshots import pack, unpack
+from tests.fixtures import load_functions
+
+load_tests = load_functions(__name__)
+
+#: Routes of a large configuration.
+_ROUTES = 2_000
+#: Bits per second of the slowest link of a host, and the daemons that fetch
+#: from one at once.
+_SLOWEST_LINK = 5_000_000
+_FANOUT = 8
+#: Time in s of a fetch.
+_FETCH_LIMIT = 1.5
+
+
+def _large_configuration() -> bytes:
+    rng = random.Random(1)
+    document = configuration()
+    route = document['routes'][0]
+    document['routes'] += [
+        {**route, 'name': f'r{number}', 'host': f'{rng.getrandbits(40):x}'}
+        for number in range(_ROUTES)
+    ]
+    return json.dumps(document).encode()
+
+
+def test_large_configuration_fits_a_slow_link() -> None:
+    """Guards against fetches that time out at a daemon with a slow link."""
+    sent = len(pack(_large_configuration())) * 8 * _FANOUT
+    assert sent / _SLOWEST_LINK < _FETCH_LIMIT
+
+
+def test_packed_document_is_whole() -> None:
+    """Guards against documents that change on the way."""
+    document = _large_configuration()
+    assert unpack(pack(document)) == document
+
+
+def test_damaged_document() -> None:
+    """Guards against damaged documents that are taken for whole ones."""
+    packed = pack(_large_configuration())
+    for damaged in (packed[:-10], b'-' + packed[1:], b''):
+        try:
+            unpack(damaged)
+        except PeerError:
+            continue
+        raise AssertionError(f'{len(damaged)} bytes were accepted')
