--- /dev/null
+++ b/tests/test_output.py
@@ -0,0 +1,139 @@
+"""Tests of structured logs and counters."""
+
+import json
+import os
+from collections.abc import Iterator
+
+import attrs
+
+from monsoonproxy.clock import Clock, Millis
+from monsoonproxy.logs import Output
+from monsoonproxy.models import Outcome
+from monsoonproxy.telemetry import Telemetry
+from tests.fixtures import fixture, load_functions
+
+load_tests = load_functions(__name__)
+
+_INFO, _WARNING = 20, 30
+#: Far more lines than may be written at once.
+_FLOOD = 5_000
+#: Upper limit of the bytes that a flood of short lines may write.
+_MOST_BYTES = 64 * 1024
+
+
+class _Clock(Clock):
+    """A clock that the test sets."""
+
+    def __init__(self) -> None:
+        self.moment = Millis(0)
+
+    def now(self) -> Millis:
+        return self.moment
+
+
+@attrs.frozen
+class _Level:
+    no: int
+
+
+@attrs.frozen
+class _Message:
+    """A formatted message, as the library hands it over."""
+
+    text: str
+    record: dict[str, _Level]
+
+    def encode(self) -> bytes:
+        return self.text.encode()
+
+
+@attrs.define
+class _Pipe:
+    reader: int
+    output: Output
+    clock: _Clock
+
+    def write(self, text: str, level: int = _INFO) -> None:
+        self.output(_Message(f'{text}\n', {'level': _Level(level)}))
+
+    def lines(self) -> list[str]:
+        return os.read(self.reader, 1 << 20).decode().splitlines()
+
+
+@fixture
+def pipe() -> Iterator[_Pipe]:
+    """Yield logs that go to a pipe."""
+    reader, writer = os.pipe()
+    clock = _Clock()
+    yield _Pipe(reader, Output(writer, clock), clock)
+    os.close(reader)
+    os.close(writer)
+
+
+def test_flood_is_bounded(pipe: _Pipe) -> None:
+    """Guards against logs that take a daemon's time under load."""
+    for number in range(_FLOOD):
+        pipe.write(f'line {number}')
+    assert 0 < len('\n'.join(pipe.lines())) < _MOST_BYTES
+    assert pipe.output.dropped > 0
+
+
+def test_dropped_lines_are_told(pipe: _Pipe) -> None:
+    """Guards against gaps in logs that nobody can see."""
+    for number in range(_FLOOD):
+        pipe.write(f'line {number}')
+    pipe.lines()
+    dropped = pipe.output.dropped
+    pipe.clock.moment = Millis(10_000)
+    pipe.write('calm again')
+    note, line = pipe.lines()
+    assert json.loads(note)['count'] == str(dropped)
+    assert line == 'calm again'
+
+
+def test_warnings_pass_a_flood(pipe: _Pipe) -> None:
+    """Guards against decisions that get lost among many lines."""
+    for number in range(_FLOOD):
+        pipe.write(f'line {number}')
+    pipe.write('important', _WARNING)
+    assert pipe.lines()[-1] == 'important'
+
+
+def test_reader_that_does_not_read(pipe: _Pipe) -> None:
+    """Guards against a daemon that waits for the reader of its logs."""
+    text = 'x' * 4_000
+    for _ in range(_FLOOD):
+        pipe.clock.moment = Millis(pipe.clock.moment + 1_000)
+        pipe.write(text)
+    assert pipe.output.dropped > 0
+
+
+def test_reader_that_has_gone(pipe: _Pipe) -> None:
+    """Guards against a daemon that ends with the reader of its logs."""
+    os.close(pipe.reader)
+    pipe.write('nobody reads this')
+    pipe.reader = os.open(os.devnull, os.O_RDONLY)
+
+
+def test_news_since_the_last_call() -> None:
+    """Guards against events that are told twice or never."""
+    telemetry = Telemetry(_Clock())
+    telemetry.count('probes')
+    telemetry.count('probes', 2)
+    assert telemetry.news() == {'probes': 3}
+    assert not telemetry.news()
+    telemetry.count('leases')
+    assert telemetry.news() == {'leases': 1}
+
+
+def test_text_of_metrics() -> None:
+    """Guards against metrics that a scraper can't read."""
+    telemetry = Telemetry(_Clock())
+    telemetry.count('probes', 4)
+    telemetry.record('ledger', 'primary', Outcome.ANSWERED, Millis(12))
+    lines = telemetry.text({'callers': 3}).splitlines()
+    assert 'monsoonproxy_callers 3' in lines
+    assert 'monsoonproxy_events_total{event="probes"} 4' in lines
+    labels = 'service="ledger",kind="primary",outcome="answered"'
+    assert f'monsoonproxy_statements_total{{{labels}}} 1' in lines
+    assert all(' ' in line for line in lines)
