--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,7 +24,7 @@
 load_tests = load_functions(__name__)
 
 #: Seeds that failed once, with the cause: 10 and 15, SIGHUP ended a daemon that
-#: was loading its modules.
+#: was loading its modules. Choices were drawn in another order then.
 _REGRESSIONS = (10, 15)
 _SECONDS = 5
 _ID = b'0011223344556677'
