Let both operators of the race read before either writes

If one has written before the other reads, both are rightly accepted, one after the other, and the version is one higher at the end (7 instead of 6). Ruled out: a lost condition in the store: with the second operator's read delayed by 0.5 s in a trial, every round accepts both and the test ends at version 11, the same signature in each round. Change: a barrier between reading and writing. The test's checks are as they were: one accepted change in each round, version 6 at the end; now each round is a race.

--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -179,21 +179,28 @@
     scene.note('two operators')
     for number in range(5):
         deadlines = (5000 + number, 6000 + number)
+        # Both have read before either writes; one after the other, both would
+        # rightly be accepted.
+        both_read = asyncio.Barrier(len(deadlines))
         accepted = await asyncio.gather(
-            *(_apply(scene, f'default_deadline = {each}') for each in deadlines)
+            *(
+                _apply(scene, f'default_deadline = {each}', both_read)
+                for each in deadlines
+            )
         )
         scene.note(f'round {number}: accepted {accepted}')
         scene.accepted.append(accepted)
         await asyncio.sleep(scene.hold / 5)
 
 
-async def _apply(scene: Scene, lines: str) -> int:
+async def _apply(scene: Scene, lines: str, both_read: asyncio.Barrier) -> int:
     """Apply a configuration unless another operator was faster."""
     cluster = scene.cluster
     platform = HttpPlatform(f'http://{cluster.platform.address}')
     stored = await platform.read(_CONFIGURATION)
     if stored is None:
         raise RuntimeError('the site has no configuration')
+    await both_read.wait()
     cfg = await asyncio.to_thread(cluster.configuration, lines)
     version = Configuration.from_document(stored.body).version + 1
     document = attrs.evolve(cfg, version=version).to_document()
