--- a/monsoonproxy/backends.py
+++ b/monsoonproxy/backends.py
@@ -11,6 +11,7 @@
 
 from monsoonproxy import pools
 from monsoonproxy.adapters import BackendConnection, DatabaseAdapter
+from monsoonproxy.background import Background
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.exceptions import (
     BackendError,
@@ -105,7 +106,7 @@
         self._waiting: collections.deque[asyncio.Future[None]]
         self._waiting = collections.deque()
         self._wake = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = Background()
         self._probe_wanted = asyncio.Event()
         self._probe_sent_at = Millis(0)
         self._used_at = clock.now()
@@ -217,7 +218,7 @@
         :param reason: Why, for those who wait for a connection.
         """
         for number in tuple(self._connections):
-            self._spawn(self._close(number))
+            self._tasks.spawn(self._close(number))
         self._fail_waiting(ConnectionLostError(reason))
 
     def stop_lending(self) -> None:
@@ -274,15 +275,10 @@
         for command in commands:
             if isinstance(command, pools.Open):
                 for _ in range(command.count):
-                    self._spawn(self._open())
+                    self._tasks.spawn(self._open())
             else:
                 for number in command.connections:
-                    self._spawn(self._close(number))
-
-    def _spawn(self, work: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+                    self._tasks.spawn(self._close(number))
 
     async def _open(self) -> None:
         try:
--- a/monsoonproxy/control.py
+++ b/monsoonproxy/control.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from monsoonproxy import membership, messages, spread
 from monsoonproxy.adapters import PlatformAdapter
+from monsoonproxy.background import Background
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.configuration import Configuration
 from monsoonproxy.exceptions import ConfigurationError, PlatformError
@@ -57,7 +58,7 @@
         self._spread = spread.Spread(self.own.address, rules.spread, rng)
         self._hosts_due = Millis(0)
         self._seeds_due = Millis(0)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = Background()
         self._reading = False
         self._stored_etag = ''
         self.store_reads = 0
@@ -82,14 +83,14 @@
             now = self._clock.now()
             self._membership.handle(membership.Tick(), now)
             for address in self._membership.probes(now):
-                self._spawn(self._announce(address, self.version))
+                self._tasks.spawn(self._announce(address, self.version))
             if self._membership.changed:
                 self._hosts_changed()
             self._handle(spread.Tick())
             self._ask_seeds(now)
             if now >= self._hosts_due:
                 self._hosts_due = Millis(now + self.cfg.platform.hosts_interval)
-                self._spawn(self._read_hosts())
+                self._tasks.spawn(self._read_hosts())
             await asyncio.sleep(seconds(_TICK))
 
     def receive(self, peer: str, message: messages.Message) -> None:
@@ -137,7 +138,7 @@
 
     def read_store(self) -> None:
         """Read the configuration from the store now."""
-        self._spawn(self._read_configuration())
+        self._tasks.spawn(self._read_configuration())
 
     async def say_goodbye(self) -> None:
         """Tell all peers that this daemon takes no new requests."""
@@ -161,7 +162,7 @@
             return
         self._seeds_due = Millis(now + _SEED_INTERVAL)
         for seed in self._seeds:
-            self._spawn(self._announce(seed, self.version))
+            self._tasks.spawn(self._announce(seed, self.version))
 
     def _hosts_changed(self) -> None:
         hosts = self.hosts()
@@ -174,17 +175,17 @@
 
     def _run(self, command: spread.Command) -> None:
         if isinstance(command, spread.SendAnnounce):
-            self._spawn(self._announce(command.peer, command.version))
+            self._tasks.spawn(self._announce(command.peer, command.version))
         elif isinstance(command, spread.FetchFrom):
             message: messages.Message = messages.FetchConfiguration(
                 command.version
             )
-            self._spawn(self._send(command.peer, message))
+            self._tasks.spawn(self._send(command.peer, message))
         elif isinstance(command, spread.SendDocument):
             message = messages.ConfigurationDocument(
                 command.version, command.document
             )
-            self._spawn(self._send(command.peer, message))
+            self._tasks.spawn(self._send(command.peer, message))
         elif isinstance(command, spread.ReadStore):
             self.read_store()
         else:
@@ -257,11 +258,6 @@
             return
         self._handle(spread.StoreRead(cfg.version, stored.body))
 
-    def _spawn(self, work: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _zone_of(peer: str, message: messages.Message) -> str:
     hosts = getattr(message, 'hosts', [])
--- a/monsoonproxy/dispatch.py
+++ b/monsoonproxy/dispatch.py
@@ -1,10 +1,11 @@
 """Passes messages between the sockets and the parts of a daemon."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from monsoonproxy import messages
 from monsoonproxy.attempts import NOT_HELD
+from monsoonproxy.background import Background
 from monsoonproxy.clock import seconds
 from monsoonproxy.control import Control
 from monsoonproxy.entry import Entry
@@ -45,7 +46,7 @@
         self._hosting = hosting
         self._control = control
         self._operate = operate
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = Background()
         self.listener: Listener | None = None
 
     def local(self, message: messages.Message) -> None:
@@ -82,7 +83,7 @@
         elif isinstance(message, messages.StatusRequest):
             document = self._operate(message.topic)
             reply = messages.StatusReply(message.request, document)
-            self._spawn(self._answer(sender, reply))
+            self._tasks.spawn(self._answer(sender, reply))
         elif isinstance(message, _FOR_HOLDERS):
             for holder in self._hosting.all():
                 _pass_on(holder, sender, message)
@@ -108,7 +109,7 @@
         holder = self._hosting.find(req.service, (sender, req.session))
         if holder is None:
             refusal = messages.Refusal(req.request, NOT_HELD, _RETRY_AFTER)
-            self._spawn(self._answer(sender, refusal))
+            self._tasks.spawn(self._answer(sender, refusal))
             return
         holder.submit(sender, req, lambda reply: self._send(sender, reply))
 
@@ -124,11 +125,6 @@
         except PeerError as exc:
             _log.info('A reply could not be sent: {}', exc)
 
-    def _spawn(self, work: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 _FOR_HOLDERS = (messages.Credit, messages.Cancel, messages.SessionEnd)
 
--- a/monsoonproxy/entry.py
+++ b/monsoonproxy/entry.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import itertools
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Callable
 from typing import TypeAlias, TypeVar
 
 from msgspec.structs import replace
 
 from monsoonproxy import messages
 from monsoonproxy.attempts import Lost, OpenRequest, Progress, is_final
+from monsoonproxy.background import Background
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.configuration import Configuration
 from monsoonproxy.declarations import Service
@@ -61,7 +62,7 @@
         self._numbers = itertools.count(1)
         self._open: dict[int, OpenRequest] = {}
         self._pinned: dict[int, str] = {}
-        self._tasks: set[asyncio.Future[object]] = set()
+        self._tasks = Background()
         self.stale_replies = 0
 
     def configure(self, cfg: Configuration) -> None:
@@ -159,12 +160,7 @@
             if waiting.session == session.number:
                 self._open.pop(number)
                 cancel = messages.Cancel(number)
-                self._spawn(self._links.try_send(waiting.address, cancel))
-
-    def _spawn(self, work: Awaitable[object]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+                self._tasks.spawn(self._links.try_send(waiting.address, cancel))
 
     def _service(self, session: Session) -> Service | None:
         if self._cfg is None:
--- a/monsoonproxy/frontends.py
+++ b/monsoonproxy/frontends.py
@@ -9,6 +9,7 @@
 import attrs
 
 from monsoonproxy import messages, sessions, statements, tokens
+from monsoonproxy.background import Background
 from monsoonproxy.clock import Clock
 from monsoonproxy.connections import CallerConnection
 from monsoonproxy.identities import Identities
@@ -115,7 +116,7 @@
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._changed = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = Background()
 
     async def start(
         self, host: str, port: int, ssl: tls.SSLContext | None = None
@@ -191,10 +192,7 @@
 
         :param work: The coroutine.
         """
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        task.add_done_callback(self._notice)
+        self._tasks.spawn(work).add_done_callback(self._notice)
 
     def _notice(self, _task: asyncio.Task[None]) -> None:
         self._changed.set()
--- a/monsoonproxy/groups.py
+++ b/monsoonproxy/groups.py
@@ -3,10 +3,11 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Awaitable, Callable, Mapping, Set
+from collections.abc import Callable, Mapping, Set
 
 from monsoonproxy import claims, quorum, signals
 from monsoonproxy.backends import Backend
+from monsoonproxy.background import Background
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.failover import Failover
 from monsoonproxy.logs import log_for
@@ -49,7 +50,7 @@
         #: Called after each report.
         self.on_change: Callable[[], None] = lambda: None
         self._changed = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = Background()
         self._task_group: asyncio.TaskGroup | None = None
         self._watchers: dict[str, tuple[asyncio.Task[None], ...]] = {}
         self._last_primary: str | None = None
@@ -312,7 +313,7 @@
                 '{}: A failover attempt ended: {}', self.service, command.reason
             )
         else:
-            self._spawn(self._step(command))
+            self._tasks.spawn(self._step(command))
 
     def _primary_changed(self, command: signals.PrimaryChanged) -> None:
         _log.info(
@@ -343,11 +344,6 @@
         for backend in self.backends.values():
             backend.stop_lending()
 
-    def _spawn(self, work: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def candidate_name(address: str, rng: random.Random) -> str:
     """Return a name for a daemon's incarnation as a candidate.
--- a/monsoonproxy/hosting.py
+++ b/monsoonproxy/hosting.py
@@ -3,12 +3,13 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Coroutine, Iterable
+from collections.abc import Iterable
 
 import attrs
 
 from monsoonproxy import adapters, placement, pools, signals
 from monsoonproxy.backends import Backend
+from monsoonproxy.background import Background
 from monsoonproxy.claims import TermClaims
 from monsoonproxy.clock import Clock, seconds
 from monsoonproxy.configuration import Configuration
@@ -60,7 +61,7 @@
         self._clock = clock
         self._rng = rng
         self._held: dict[str, _Held] = {}
-        self._draining: set[asyncio.Task[None]] = set()
+        self._draining = Background()
         self._released: list[Holder] = []
         self._numbers = itertools.count(1)
         self._cfg = Configuration()
@@ -109,7 +110,7 @@
             if service is None or _needs_restart(held.holder.service, service):
                 self._release(name)
             elif service != held.holder.service:
-                self._spawn(self._reconfigure(held.holder, service))
+                self._draining.spawn(self._reconfigure(held.holder, service))
         self._placement.keep_only(
             [
                 (service.name, service.holders)
@@ -206,12 +207,7 @@
     def _release(self, name: str) -> None:
         held = self._held.pop(name)
         _log.info('Releasing {}', name)
-        self._spawn(self._drain(held))
-
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
-        self._draining.add(task)
-        task.add_done_callback(self._draining.discard)
+        self._draining.spawn(self._drain(held))
 
     async def _drain(self, held: _Held) -> None:
         """Let a holder finish what it has, then stop its tasks."""
--- a/monsoonproxy/juries.py
+++ b/monsoonproxy/juries.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from monsoonproxy import notices
+from monsoonproxy.background import Background
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.gossip import Gossip
 from monsoonproxy.logs import log_for
@@ -50,7 +51,7 @@
         self._numbers = itertools.count(1)
         self._tallies: dict[int, Tally] = {}
         self._settled: dict[int, asyncio.Event] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = Background()
         gossip.handlers[notices.Question] = self._take_question
         gossip.handlers[notices.Opinion] = self._take_opinion
 
@@ -95,11 +96,7 @@
         return self._rng.sample(addresses, _JURY)
 
     def _take_question(self, question: notices.Question, address: str) -> None:
-        task = asyncio.get_running_loop().create_task(
-            self._answer(question, address)
-        )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._answer(question, address))
 
     async def _answer(self, question: notices.Question, address: str) -> None:
         runner = self._find(question.service)
--- a/monsoonproxy/lanes.py
+++ b/monsoonproxy/lanes.py
@@ -3,12 +3,13 @@
 import asyncio
 import heapq
 import itertools
-from collections.abc import Callable, Coroutine
-from typing import Any, Protocol
+from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 
 from monsoonproxy import pools
+from monsoonproxy.background import Background
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.dialects import Dialect
 from monsoonproxy.exceptions import ConnectionLostError, MonsoonError
@@ -170,7 +171,7 @@
         self._wires: dict[int, ServerWire] = {}
         self._numbers = itertools.count(1)
         self._waiting: list[_Waiting] = []
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = Background()
         self._ticking = False
 
     @property
@@ -342,7 +343,7 @@
         for command in commands:
             if isinstance(command, pools.Open):
                 for _ in range(command.count):
-                    self._spawn(self._open())
+                    self._tasks.spawn(self._open())
             else:
                 self._close_wires(command)
 
@@ -353,11 +354,6 @@
                 wire.close()
             self._pool.closed(number)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _open(self) -> None:
         try:
             wire, answer = await open_wire(
--- a/monsoonproxy/pinned.py
+++ b/monsoonproxy/pinned.py
@@ -84,7 +84,7 @@
             self._give_back()
             return
         self._lease = None
-        self.runner.spawn(self._roll_back(lease))
+        self.runner.background.spawn(self._roll_back(lease))
 
     @property
     def _cluster(self) -> Cluster:
--- a/monsoonproxy/reading.py
+++ b/monsoonproxy/reading.py
@@ -112,7 +112,7 @@
             leader = await self._cluster.wait_leader(self._left)
             if leader is None:
                 return None
-            return self._runner.spawn(self._read_leader(leader))
+            return self._runner.background.spawn(self._read_leader(leader))
         floor = await self._runner.required_floor(job)
         if floor is None:
             return None
@@ -126,7 +126,7 @@
             return None
         job.tried[option.name] = 'sent'
         member = self._cluster.members[option.name]
-        return self._runner.spawn(self._read_once(member, floor))
+        return self._runner.background.spawn(self._read_once(member, floor))
 
     async def _first_answer(self) -> Answer | None:
         """Wait until an attempt succeeds or another one should be made."""
--- a/monsoonproxy/running.py
+++ b/monsoonproxy/running.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
-from typing import Any, TypeVar
 
+from monsoonproxy.background import Background
 from monsoonproxy.clock import Clock, seconds
 from monsoonproxy.clusters import Cluster, Lease
 from monsoonproxy.dialects import Dialect
@@ -17,8 +16,6 @@
 from monsoonproxy.queries import Answer, Code, TransactionState
 from monsoonproxy.routes import Freshness
 
-_Outcome = TypeVar('_Outcome')
-
 #: What happens if no connection can be leased. Nothing was sent then.
 NOT_LEASED = (GateClosedError, LaneFullError, ServerGoneError)
 #: What happens if a connection can't be leased, or is lost.
@@ -43,7 +40,8 @@
     def __init__(self, cluster: Cluster, leaders: Leaders) -> None:
         self.cluster = cluster
         self.leaders = leaders
-        self._tasks: set[asyncio.Task[Any]] = set()
+        #: Work that may outlive its statement.
+        self.background = Background()
 
     @property
     def clock(self) -> Clock:
@@ -78,19 +76,6 @@
         """
         return self.dialect.failure(code, reason, state)
 
-    def spawn(
-        self, work: Coroutine[Any, Any, _Outcome]
-    ) -> 'asyncio.Task[_Outcome]':
-        """Run work that may outlive its statement.
-
-        :param work: The coroutine.
-        :returns: Its task.
-        """
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     async def pause(self, job: Job) -> None:
         """Wait before a statement is sent again, longer each time.
 
@@ -129,7 +114,7 @@
         if age is None or age > max_age:
             await self.leaders.sample(self.left(job))
         elif age > max_age * _RENEWAL_SHARE:
-            self.spawn(self.leaders.sample(self.left(job)))
+            self.background.spawn(self.leaders.sample(self.left(job)))
         floor = samples.required(max_age, self.clock.now())
         own = job.session.floor
         if floor is not None and own is not None:
--- a/monsoonproxy/writing.py
+++ b/monsoonproxy/writing.py
@@ -40,7 +40,7 @@
     The connection still takes the answer that is late, so that it need not be
     opened again.
     """
-    writing = runner.spawn(_write_once(runner, job, member))
+    writing = runner.background.spawn(_write_once(runner, job, member))
     done, _late = await asyncio.wait(
         (writing,), timeout=seconds(1) * max(1, runner.left(job))
     )
