Let gates and lanes share one queue of waiters

Cause: both kept a heap of futures by priority and arrival, with the same joining, waking, withdrawing and failing, 30 lines each with small variations. Behaviour is the same; a gate that is interrupted now gives all its waiters one exception instead of one each, as lanes did.

--- a/monsoonproxy/gates.py
+++ b/monsoonproxy/gates.py
@@ -6,14 +6,11 @@
 """
 
 import asyncio
-import heapq
-import itertools
-
-import attrs
 
 from monsoonproxy.clock import Millis, seconds
 from monsoonproxy.exceptions import MonsoonError
 from monsoonproxy.queries import Answer, Code
+from monsoonproxy.waiters import Waiter, Waiters
 
 #: Statements at once before anything is known, and at most. A database of two
 #: slots queues 16 more before it turns statements away.
@@ -31,15 +28,6 @@
     """No place became free in time."""
 
 
-@attrs.define(order=True)
-class _Waiting:
-    """A statement that waits; the least one goes first."""
-
-    priority: int
-    number: int
-    place: 'asyncio.Future[None]' = attrs.field(order=False)
-
-
 class Limit:
     """Additive increase, multiplicative decrease of the statements at once."""
 
@@ -72,13 +60,12 @@
     def __init__(self) -> None:
         self.limit = Limit()
         self.running = 0
-        self._numbers = itertools.count()
-        self._waiting: list[_Waiting] = []
+        self._waiters = Waiters()
 
     @property
     def waiting(self) -> int:
         """Return how many statements wait."""
-        return len(self._waiting)
+        return len(self._waiters)
 
     async def enter(self, priority: int, limit: float) -> None:
         """Wait for a place.
@@ -87,19 +74,18 @@
         :param limit: Longest wait in ms.
         :raises GateClosedError: If none becomes free in time.
         """
-        if self.running < int(self.limit.current) and not self._waiting:
+        if self.running < int(self.limit.current) and not self._waiters:
             self.running += 1
             return
-        place = asyncio.get_running_loop().create_future()
-        waiting = _Waiting(priority, next(self._numbers), place)
-        heapq.heappush(self._waiting, waiting)
+        waiter = self._waiters.join(priority)
+        place = waiter.place
         try:
             await asyncio.wait((place,), timeout=seconds(max(1, int(limit))))
         except asyncio.CancelledError:
-            self._withdraw(waiting)
+            self._withdraw(waiter)
             raise
         if not place.done():
-            self._withdraw(waiting)
+            self._withdraw(waiter)
             raise GateClosedError('no place in time')
         place.result()
 
@@ -125,23 +111,15 @@
 
     def interrupt(self) -> None:
         """End all waits."""
-        waiting, self._waiting = self._waiting, []
-        for entry in waiting:
-            if not entry.place.done():
-                entry.place.set_exception(GateClosedError('not waited for'))
+        self._waiters.fail(GateClosedError('not waited for'))
 
     def _admit(self) -> None:
-        while self._waiting and self.running < int(self.limit.current):
-            entry = heapq.heappop(self._waiting)
-            if not entry.place.done():
-                self.running += 1
-                entry.place.set_result(None)
-
-    def _withdraw(self, waiting: _Waiting) -> None:
-        if waiting.place.done():
-            if waiting.place.exception() is None:
-                # The place was given at the same moment.
-                self.leave()
-        elif waiting in self._waiting:
-            self._waiting.remove(waiting)
-            heapq.heapify(self._waiting)
+        while self.running < int(self.limit.current) and self._waiters.wake():
+            self.running += 1
+
+    def _withdraw(self, waiter: Waiter) -> None:
+        if not waiter.place.done():
+            self._waiters.withdraw(waiter)
+        elif waiter.place.exception() is None:
+            # The place was given at the same moment.
+            self.leave()
--- a/monsoonproxy/lanes.py
+++ b/monsoonproxy/lanes.py
@@ -1,7 +1,6 @@
 """The connections of a daemon to one backend server."""
 
 import asyncio
-import heapq
 import itertools
 from collections.abc import Callable
 from typing import Protocol
@@ -18,6 +17,7 @@
 from monsoonproxy.queries import Answer, Code, Prepared
 from monsoonproxy.servers import Server
 from monsoonproxy.telemetry import Telemetry
+from monsoonproxy.waiters import Waiters
 from monsoonproxy.wires import ServerWire, open_wire
 
 _log = log_for('lane')
@@ -129,15 +129,6 @@
         """Close all connections at once."""
 
 
-@attrs.define(order=True)
-class _Waiting:
-    """A claim that waits; the least one goes first."""
-
-    priority: int
-    number: int
-    place: 'asyncio.Future[None]' = attrs.field(order=False)
-
-
 class DirectLane:
     """A pool of own connections, by the decisions of :class:`pools.Pool`.
 
@@ -170,7 +161,7 @@
         self._pool = pools.Pool(rules, clock.now())
         self._wires: dict[int, ServerWire] = {}
         self._numbers = itertools.count(1)
-        self._waiting: list[_Waiting] = []
+        self._waiters = Waiters()
         self._tasks = Background()
         self._ticking = False
 
@@ -231,14 +222,16 @@
 
     def interrupt(self) -> None:
         """End all waits, since another backend server leads now."""
-        self._wake_all(LaneFullError(f'{self.server.address}: not waited for'))
+        self._waiters.fail(
+            LaneFullError(f'{self.server.address}: not waited for')
+        )
         self.gate.interrupt()
 
     def close(self) -> None:
         """Close idle connections; leased ones are closed when released."""
         self.gone = True
         self._run(self._pool.stop(pools.CloseReason.LEAVING))
-        self._wake_all(ServerGoneError(self.server.server_id))
+        self._waiters.fail(ServerGoneError(self.server.server_id))
         self.gate.interrupt()
 
     def abort(self) -> None:
@@ -288,41 +281,28 @@
     async def _wait(self, priority: int, limit: float) -> float:
         """Wait for a connection; return the time in ms that it took."""
         started = self._clock.now()
-        place = asyncio.get_running_loop().create_future()
-        waiting = _Waiting(priority, next(self._numbers), place)
-        heapq.heappush(self._waiting, waiting)
+        waiter = self._waiters.join(priority)
         self._tick()
         try:
             async with asyncio.timeout(seconds(max(1, int(limit)))):
-                await place
+                await waiter.place
         except TimeoutError:
             raise LaneFullError(
                 f'{self.server.address}: no connection'
             ) from None
         finally:
-            if waiting in self._waiting:
-                self._waiting.remove(waiting)
-                heapq.heapify(self._waiting)
+            self._waiters.withdraw(waiter)
         return self._clock.now() - started
 
     def _hand_out(self) -> None:
         idle = self._pool.idle
-        while idle and self._waiting:
-            place = heapq.heappop(self._waiting).place
-            if not place.done():
-                place.set_result(None)
-                idle -= 1
-
-    def _wake_all(self, exc: MonsoonError) -> None:
-        waiting, self._waiting = self._waiting, []
-        for entry in waiting:
-            if not entry.place.done():
-                entry.place.set_exception(exc)
+        while idle and self._waiters.wake():
+            idle -= 1
 
     def _tick(self) -> None:
         now = self._clock.now()
         self._drop_closed()
-        self._run(self._pool.tick(len(self._waiting), now))
+        self._run(self._pool.tick(len(self._waiters), now))
         if not self._ticking and not self.gone:
             self._ticking = True
             loop = asyncio.get_running_loop()
@@ -389,7 +369,7 @@
         self.refused_at = now
         self.on_failure()
         if not self._wires:
-            self._wake_all(exc)
+            self._waiters.fail(exc)
 
 
 def _ignore() -> None:
--- /dev/null
+++ b/monsoonproxy/waiters.py
@@ -0,0 +1,75 @@
+"""Tasks that wait for places, the most urgent first."""
+
+import asyncio
+import heapq
+import itertools
+
+import attrs
+
+
+@attrs.define(order=True)
+class Waiter:
+    """A task that waits; the least one goes first.
+
+    :param priority: 0 is the highest.
+    :param number: Order of arrival.
+    :param place: Is done once the task has its place.
+    """
+
+    priority: int
+    number: int
+    place: 'asyncio.Future[None]' = attrs.field(order=False)
+
+
+class Waiters:
+    """A queue by priority, then arrival."""
+
+    def __init__(self) -> None:
+        self._numbers = itertools.count()
+        self._waiting: list[Waiter] = []
+
+    def __len__(self) -> int:
+        """Return how many tasks wait."""
+        return len(self._waiting)
+
+    def join(self, priority: int) -> Waiter:
+        """Begin to wait.
+
+        :param priority: 0 is the highest.
+        :returns: What to wait for, and to withdraw in the end.
+        """
+        place = asyncio.get_running_loop().create_future()
+        waiter = Waiter(priority, next(self._numbers), place)
+        heapq.heappush(self._waiting, waiter)
+        return waiter
+
+    def withdraw(self, waiter: Waiter) -> None:
+        """Stop waiting, if that has not ended yet.
+
+        :param waiter: What :meth:`join` returned.
+        """
+        if waiter in self._waiting:
+            self._waiting.remove(waiter)
+            heapq.heapify(self._waiting)
+
+    def wake(self) -> bool:
+        """Give a place to the most urgent task.
+
+        :returns: Whether there was one.
+        """
+        while self._waiting:
+            place = heapq.heappop(self._waiting).place
+            if not place.done():
+                place.set_result(None)
+                return True
+        return False
+
+    def fail(self, exc: Exception) -> None:
+        """End all waits.
+
+        :param exc: What the tasks get.
+        """
+        waiting, self._waiting = self._waiting, []
+        for waiter in waiting:
+            if not waiter.place.done():
+                waiter.place.set_exception(exc)
