Keep the declaration of a service in one place

Cause: the split of members from clusters left a copy of the declaration, which a new configuration did not reach. It had no effect so far: the share of the plan, made from the current declaration, decides how many connections a pool has. test_connection_limit_changes holds that; it passes before and after. Checks: linter, types, the module's tests.

--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -80,7 +80,7 @@
         self.on_leaderless: Callable[[], None] = _do_nothing
         self.leaderless_since: Millis | None = None
         self._shared = shared
-        self._maker = MemberMaker(rules, shared)
+        self._maker = MemberMaker(shared)
         self._changed = asyncio.Event()
 
     @property
@@ -101,7 +101,7 @@
         """
         self._maker.plan = plan
         for member in self.members.values():
-            self._maker.adapt(member)
+            self._maker.adapt(member, self.rules)
 
     def put(self, server: Server) -> None:
         """Add a backend server, or take in what it says of itself now.
@@ -382,7 +382,7 @@
             self.release(lease)
 
     def _add(self, server: Server) -> None:
-        member = self._maker.make(server)
+        member = self._maker.make(server, self.rules)
         member.direct.on_failure = partial(self.doubt, member)
         member.borrowed.on_failure = partial(self.doubt, member)
         self.members[server.server_id] = member
--- a/monsoonproxy/members.py
+++ b/monsoonproxy/members.py
@@ -79,19 +79,18 @@
 class MemberMaker:
     """Decides which connections lead to a backend server.
 
-    :param rules: Declaration of the service.
     :param shared: What the clusters of a daemon share.
     """
 
-    def __init__(self, rules: ServiceRules, shared: Surroundings) -> None:
+    def __init__(self, shared: Surroundings) -> None:
         self.plan = Plan()
-        self._rules = rules
         self._shared = shared
 
-    def make(self, server: Server) -> Member:
+    def make(self, server: Server, rules: ServiceRules) -> Member:
         """Prepare the connections to a backend server.
 
         :param server: Its entry.
+        :param rules: Declaration of the service.
         :returns: The backend server, without any open connection.
         """
         shared = self._shared
@@ -99,7 +98,7 @@
         direct = DirectLane(
             server,
             shared.dialect,
-            self.plan.pool_rules(self._rules, connects=connects),
+            self.plan.pool_rules(rules, connects=connects),
             shared.clock,
             shared.telemetry,
         )
@@ -114,14 +113,16 @@
         lane = direct if connects else borrowed
         return Member(server, lane, direct, borrowed)
 
-    def adapt(self, member: Member) -> None:
-        """Follow a change of the plan or of the daemons.
+    def adapt(self, member: Member, rules: ServiceRules) -> None:
+        """Follow a change of the plan, of the daemons or of the service.
 
         :param member: The backend server.
+        :param rules: Declaration of the service.
         """
         connects = self._connects(member.server)
-        rules = self.plan.pool_rules(self._rules, connects=connects)
-        member.direct.reconfigure(rules)
+        member.direct.reconfigure(
+            self.plan.pool_rules(rules, connects=connects)
+        )
         if connects != (member.lane is member.direct):
             member.lane = member.direct if connects else member.borrowed
             member.lane.warm_up()
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from stand_ins.site import CURRENT, RECENT, SiteStandIn, configuration
+from stand_ins.site import CURRENT, OWN, RECENT, SiteStandIn, configuration
 
 from tests.fixtures import load_functions
-from tests.platform_sites import until, version
+from tests.platform_sites import running, until, version
 
 load_tests = load_functions(__name__)
 
@@ -68,3 +68,20 @@
     assert all(
         run.server_id != 'somebody-else' for run in platform_site.group.runs
     )
+
+
+async def test_connection_limit_changes() -> None:
+    """Guards against a daemon that keeps the limit it started with."""
+    site = SiteStandIn(daemons=1)
+    services = site.document['services']
+    services[0]['max_conns'] = 2
+    async with running(site):
+        callers = [await site.caller(OWN) for _ in range(3)]
+        for caller in callers[:2]:
+            assert not (await caller.run('BEGIN')).code
+            assert not (await caller.run('WRITE a 1')).code
+        document = configuration(7, timeout_ms=1_000)
+        site.platform.configure(document)
+        await until(lambda: version(site.nodes[0]) == 7, 3)
+        assert not (await callers[2].run('BEGIN')).code
+        assert not (await callers[2].run('WRITE b 1')).code
