Remember who lends connections until the hosts change

Cause: every look at a server without connections of its own ranked its lenders anew, 12 hashes and two sorts: for each read once for each server of the service and again for the lease. The order is the same.

--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -73,6 +73,8 @@
         self._neighbours = Neighbours(settings.name, rng)
         self._placement = Placement()
         self._hosts: frozenset[Host] = frozenset()
+        #: Who lends connections to a server, until the hosts change.
+        self._lending: dict[tuple[str, int], tuple[Host, ...]] = {}
         self._delegates: frozenset[str] = frozenset()
         self._links = Links()
         self._links.on_gone = self._lender_gone
@@ -195,13 +197,18 @@
         Those in the own zone come first, since the way to them is short. Of
         these, each daemon prefers another one.
         """
-        settings = self._settings
-        hosts = self._placement.holders(server.server_id, count)
-        preferred = ranked(settings.name, hosts)
-        zone = settings.availability_zone
-        return tuple(
-            sorted(preferred, key=lambda host: host.availability_zone != zone)
-        )
+        key = (server.server_id, count)
+        found = self._lending.get(key)
+        if found is None:
+            settings = self._settings
+            hosts = self._placement.holders(server.server_id, count)
+            preferred = ranked(settings.name, hosts)
+            zone = settings.availability_zone
+            found = tuple(
+                sorted(preferred, key=lambda at: at.availability_zone != zone)
+            )
+            self._lending[key] = found
+        return found
 
     async def _register(self) -> None:
         """Tell the others where this daemon is, and learn where they are."""
@@ -243,6 +250,7 @@
         if hosts != self._hosts:
             self._hosts = hosts
             self._placement.update(hosts)
+            self._lending.clear()
             self._delegates = delegates.chosen(hosts)
             self._gossip.is_delegate = own.address in self._delegates
         self.catalog.replan(len(hosts))
