Use one fixture for a full gate

Four tests set it up with the same lines. Their assertions are unchanged; in test_urgent_first the holder of the place entered with priority 2 and now with 1, which plays no part once it is in.

--- a/tests/test_gates.py
+++ b/tests/test_gates.py
@@ -1,14 +1,24 @@
 """Tests of the limit of statements at a backend server."""
 
 import asyncio
+from collections.abc import AsyncIterator
 
 from monsoonproxy.clock import Millis
 from monsoonproxy.gates import Gate, GateClosedError, Limit
-from tests.fixtures import load_functions
+from tests.fixtures import fixture, load_functions
 
 load_tests = load_functions(__name__)
 
 
+@fixture
+async def full_gate() -> AsyncIterator[Gate]:
+    """Yield a gate whose only place is taken."""
+    gate = Gate()
+    gate.limit.current = 1
+    await gate.enter(1, 1_000)
+    yield gate
+
+
 def test_limit_falls_once_per_queue() -> None:
     """Guards against one full queue that closes the gate altogether."""
     limit = Limit()
@@ -62,69 +72,57 @@
     assert sum(refused[200:]) < sum(refused[:200])
 
 
-async def test_urgent_first() -> None:
+async def test_urgent_first(full_gate: Gate) -> None:
     """Guards against an urgent statement behind many others."""
-    gate = Gate()
-    gate.limit.current = 1
-    await gate.enter(2, 1_000)
     order: list[str] = []
 
     async def wait(name: str, priority: int) -> None:
-        await gate.enter(priority, 1_000)
+        await full_gate.enter(priority, 1_000)
         order.append(name)
-        gate.leave()
+        full_gate.leave()
 
     tasks = [asyncio.create_task(wait(f'late-{n}', 2)) for n in range(3)]
     await asyncio.sleep(0)
     tasks.append(asyncio.create_task(wait('urgent', 1)))
     await asyncio.sleep(0)
-    gate.leave()
+    full_gate.leave()
     await asyncio.gather(*tasks)
     assert order == ['urgent', 'late-0', 'late-1', 'late-2']
-    assert gate.running == 0
+    assert full_gate.running == 0
 
 
-async def test_places_are_given_back() -> None:
+async def test_places_are_given_back(full_gate: Gate) -> None:
     """Guards against places lost with callers that give up."""
-    gate = Gate()
-    gate.limit.current = 1
-    await gate.enter(1, 1_000)
-    leaving = asyncio.create_task(gate.enter(1, 1_000))
+    leaving = asyncio.create_task(full_gate.enter(1, 1_000))
     await asyncio.sleep(0)
     leaving.cancel()
     await asyncio.wait((leaving,))
     try:
-        await gate.enter(1, 10)
+        await full_gate.enter(1, 10)
     except GateClosedError:
-        assert gate.waiting == 0
+        assert full_gate.waiting == 0
     else:
         raise AssertionError('entered a full gate')
-    gate.leave()
-    await gate.enter(1, 1_000)
-    gate.leave()
-    assert gate.running == 0
+    full_gate.leave()
+    await full_gate.enter(1, 1_000)
+    full_gate.leave()
+    assert full_gate.running == 0
 
 
-async def test_deposed_leader_wakes_waiters() -> None:
+async def test_deposed_leader_wakes_waiters(full_gate: Gate) -> None:
     """Guards against callers that wait for a leader that was replaced."""
-    gate = Gate()
-    gate.limit.current = 1
-    await gate.enter(1, 1_000)
-    waiting = asyncio.create_task(gate.enter(1, 10_000))
+    waiting = asyncio.create_task(full_gate.enter(1, 10_000))
     await asyncio.sleep(0)
-    gate.interrupt()
+    full_gate.interrupt()
     await asyncio.wait((waiting,))
     assert isinstance(waiting.exception(), GateClosedError)
 
 
-async def test_cancelled_and_interrupted() -> None:
+async def test_cancelled_and_interrupted(full_gate: Gate) -> None:
     """Guards against a place given back that was never given."""
-    gate = Gate()
-    gate.limit.current = 1
-    await gate.enter(1, 1_000)
-    waiting = asyncio.create_task(gate.enter(1, 10_000))
+    waiting = asyncio.create_task(full_gate.enter(1, 10_000))
     await asyncio.sleep(0)
-    gate.interrupt()
+    full_gate.interrupt()
     waiting.cancel()
     await asyncio.wait((waiting,))
-    assert gate.running == 1
+    assert full_gate.running == 1
