--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -9,7 +9,7 @@
 
 from monsoonproxy import floors, selection
 from monsoonproxy.clock import Millis, seconds
-from monsoonproxy.exceptions import ConnectionLostError
+from monsoonproxy.exceptions import ConnectionLostError, MonsoonError
 from monsoonproxy.lanes import (
     Claim,
     Lane,
@@ -33,7 +33,7 @@
 PROBE_TIMEOUT = Millis(300)
 
 
-class NotLeadingError(Exception):
+class NotLeadingError(MonsoonError):
     """A backend server refused a transaction since it does not lead."""
 
 
--- a/monsoonproxy/following.py
+++ b/monsoonproxy/following.py
@@ -36,8 +36,6 @@
     ) -> None:
         #: When the store last failed, or 0.
         self.failed_at = Millis(0)
-        #: When the store last answered, or 0.
-        self.answered_at = Millis(0)
         self.connected = False
         self._store = store
         self._table = table
@@ -70,7 +68,6 @@
             changes = await self._store.follow(
                 self._table, self._version, _WAIT
             )
-        self.answered_at = self._clock.now()
         if not self.connected:
             self.connected = True
             _log.info(
--- a/monsoonproxy/stores.py
+++ b/monsoonproxy/stores.py
@@ -97,14 +97,13 @@
 
     async def promote(
         self, service: str, server_id: str, holder: str, token: int
-    ) -> bool:
+    ) -> None:
         """Order the promotion of a backend server.
 
         :param service: Name of the service.
         :param server_id: Identity of the backend server.
         :param holder: Name of the daemon that orders.
         :param token: Its token, greater than all earlier ones.
-        :returns: Whether the order was accepted.
         :raises FencedError: If a greater token was seen, or the backend
             server is not running.
         """
