Learn of other daemons before writing to the store

Cause: a daemon that starts wrote its row first, and read the list of daemons only after that. While the store is slow its queue of writes is full (429), so that a daemon that was killed then knew nobody for seconds, took itself for the only one and planned 306 connections to each database. Ruled out: the time to load the program (0.5 to 0.8 s of the 2 s). Change: the list is read first; rows say where daemons lend connections; listed daemons count for 5 s until they are heard; no connection is opened ahead before the list is known or 0.4 s passed; an unchanged row is not written again.

--- a/monsoonproxy/members.py
+++ b/monsoonproxy/members.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from monsoonproxy import selection
+from monsoonproxy import pools, selection
 from monsoonproxy.clock import Clock, Millis
 from monsoonproxy.dialects import Dialect
 from monsoonproxy.lanes import DirectLane, Lane
@@ -83,7 +83,9 @@
     """
 
     def __init__(self, shared: Surroundings) -> None:
-        self.plan = Plan()
+        #: ``None`` until the daemons are known; no connections are opened
+        #: ahead of need before.
+        self.plan: Plan | None = None
         self._shared = shared
 
     def make(self, server: Server, rules: ServiceRules) -> Member:
@@ -98,7 +100,7 @@
         direct = DirectLane(
             server,
             shared.dialect,
-            self.plan.pool_rules(rules, connects=connects),
+            self._pool_rules(rules, connects=connects),
             shared.clock,
             shared.telemetry,
         )
@@ -110,7 +112,7 @@
             shared.clock,
             shared.telemetry,
         )
-        lane = direct if connects else borrowed
+        lane = direct if connects or self.plan is None else borrowed
         return Member(server, lane, direct, borrowed)
 
     def adapt(self, member: Member, rules: ServiceRules) -> None:
@@ -120,12 +122,10 @@
         :param rules: Declaration of the service.
         """
         connects = self._connects(member.server)
-        member.direct.reconfigure(
-            self.plan.pool_rules(rules, connects=connects)
-        )
+        member.direct.reconfigure(self._pool_rules(rules, connects=connects))
         if connects != (member.lane is member.direct):
             member.lane = member.direct if connects else member.borrowed
-            member.lane.warm_up()
+        member.lane.warm_up()
 
     def usable_lane(self, member: Member) -> Lane:
         """Return the connections to use now.
@@ -139,8 +139,15 @@
             return member.borrowed
         return member.lane
 
+    def _pool_rules(
+        self, rules: ServiceRules, *, connects: bool
+    ) -> pools.PoolRules:
+        return (self.plan or Plan()).pool_rules(rules, connects=connects)
+
     def _connects(self, server: Server) -> bool:
-        """Tell whether this daemon has connections of its own to a server."""
+        """Tell whether this daemon keeps connections to a server."""
+        if self.plan is None:
+            return False
         if not self.plan.is_shared:
             return True
         lenders = self._shared.lenders(server, self.plan.lenders)
@@ -148,7 +155,8 @@
 
     def _lenders(self, server: Server) -> tuple[Host, ...]:
         """Return the other daemons that hold connections to a server."""
-        count = self.plan.lenders or _FALLBACK_LENDERS
+        planned = self.plan.lenders if self.plan else 0
+        count = planned or _FALLBACK_LENDERS
         return tuple(
             host
             for host in self._shared.lenders(server, count)
--- a/monsoonproxy/neighbours.py
+++ b/monsoonproxy/neighbours.py
@@ -7,7 +7,7 @@
 
 from monsoonproxy.clock import Millis
 from monsoonproxy.models import Host
-from monsoonproxy.notices import Presence
+from monsoonproxy.notices import Listing, Presence
 
 #: Presences that a daemon sends per second at most. They are 100 bytes each;
 #: news spread by themselves, and a lender that died is noticed when it is
@@ -18,6 +18,10 @@
 #: Intervals without a presence after which a daemon is taken for gone, since
 #: datagrams are lost.
 _SILENT_INTERVALS = 3.5
+#: Time in ms for which a daemon that the store lists, and that was not heard
+#: yet, is taken to be there. After a loss of power, all hosts are back within
+#: some 3 s, and news of a daemon's start reach all others at once.
+_LISTED_FOR = Millis(5_000)
 
 
 @attrs.define
@@ -30,6 +34,8 @@
     :param zone: Availability zone that its host is in.
     :param started: When it started, in ms since the Unix epoch.
     :param heard_at: When it was last heard, or ``None``.
+    :param listed_at: When the store listed it, or ``None`` if it did not
+        answer since.
     :param version: Version of the configuration that it has.
     :param stamp: Version of the backend servers' entries that it has.
     :param follows: Whether it follows the store.
@@ -42,6 +48,7 @@
     zone: str = ''
     started: int = 0
     heard_at: Millis | None = None
+    listed_at: Millis | None = None
     version: int = 0
     stamp: int = 0
     follows: bool = False
@@ -75,14 +82,21 @@
         """
         return max(_LEAST_INTERVAL, Millis(len(self) * 1000 // _PER_S))
 
-    def add(self, name: str, address: str) -> None:
-        """Add a daemon that the store lists.
+    def add(self, name: str, listing: Listing, now: Millis) -> None:
+        """Add a daemon that the store lists, unless it is known already.
 
         :param name: Its name.
-        :param address: Where it takes notices.
+        :param listing: Where it is.
+        :param now: The time.
         """
-        if address and name != self._own and name not in self._known:
-            self._known[name] = Neighbour(name, address)
+        if name != self._own and name not in self._known:
+            self._known[name] = Neighbour(
+                name,
+                listing.address,
+                listing.relay,
+                listing.zone,
+                listed_at=now,
+            )
 
     def get(self, name: str) -> Neighbour | None:
         """Return a daemon.
@@ -137,6 +151,7 @@
         for known in self._known.values():
             if known.relay == relay:
                 known.heard_at = None
+                known.listed_at = None
 
     def alive(self, now: Millis) -> tuple[Neighbour, ...]:
         """Return the daemons that were heard lately.
@@ -171,13 +186,23 @@
         return tuple(self._known.values())
 
     def hosts(self, now: Millis) -> frozenset[Host]:
-        """Return where daemons lend connections that were heard lately.
+        """Return where daemons lend connections.
+
+        Those that the store listed just now count too: a daemon that starts
+        has not heard anybody yet, and must not take itself for the only one.
 
         :param now: The time.
         :returns: Their relays, without those that are about to stop.
         """
+        listed = (
+            known
+            for known in self._known.values()
+            if known.heard_at is None
+            and known.listed_at is not None
+            and now - known.listed_at < _LISTED_FOR
+        )
         return frozenset(
             Host(known.relay, known.zone)
-            for known in self.alive(now)
+            for known in (*self.alive(now), *listed)
             if known.relay and not known.leaving
         )
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -3,8 +3,10 @@
 import asyncio
 import random
 import signal
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
-from monsoonproxy import delegates
+from monsoonproxy import delegates, notices
 from monsoonproxy.catalog import Catalog
 from monsoonproxy.clients import Clients
 from monsoonproxy.clock import Clock, Millis, seconds
@@ -38,13 +40,21 @@
 _TRANSACTIONS_SHARE = 0.5
 _END_SHARE = 0.9
 _DRAIN_PAUSE = 50
-#: Pause in ms before another try to register.
-_REGISTER_PAUSE = 500
+#: First and longest pause in ms before another try to read the list of
+#: daemons or to write to it. It doubles, so that many daemons that start at
+#: the same time don't keep a slow store busy.
+_LIST_PAUSE = 100
+_LONGEST_LIST_PAUSE = 3_200
+#: Time in ms after the start within which no connections are opened ahead
+#: while the list of daemons is not known. A slow store takes some 300 ms.
+_PLAN_BY = Millis(400)
 #: Time in ms between two lines with what was counted.
 _REPORT = Millis(5_000)
 #: A task that has nothing left to do may return.
 _ONCE = RestartRule(restart=Restart.TRANSIENT)
 
+_Result = TypeVar('_Result')
+
 
 class Node:
     """Wires the parts of a daemon.
@@ -71,6 +81,9 @@
         self._stopping = asyncio.Event()
         self._supervisor = Supervisor('node', clock)
         self._neighbours = Neighbours(settings.name, rng)
+        self._started_at = clock.now()
+        #: Whether the list of daemons was read.
+        self._has_list = False
         self._placement = Placement()
         self._hosts: frozenset[Host] = frozenset()
         #: Who lends connections to a server, until the hosts change.
@@ -154,7 +167,7 @@
         await self._relay.start(self._settings.relay_address)
         await self._gossip.start()
         children = self._supervisor
-        children.start_child('register', self._register, _ONCE)
+        children.start_child('join', self._join, _ONCE)
         children.start_child('gossip', self._gossip.run)
         children.start_child('routes', self._routes_follower.run)
         children.start_child('servers', self._servers_follower.run)
@@ -210,21 +223,34 @@
             self._lending[key] = found
         return found
 
-    async def _register(self) -> None:
-        """Tell the others where this daemon is, and learn where they are."""
+    async def _join(self) -> None:
+        """Learn where the others are, and tell them where this daemon is."""
         settings = self._settings
-        own = settings.peer_address.encode()
-        listed: Changes | None = None
-        while listed is None:
-            try:
-                await self._store.put(Table.DAEMONS, settings.name, own)
-                listed = await self._store.read(Table.DAEMONS)
-            except PlatformError as exc:
-                _log.info('Not registered yet: {}', exc)
-                await asyncio.sleep(seconds(_REGISTER_PAUSE))
-        for row in listed.rows:
-            self._neighbours.add(row.key, (row.content or b'').decode())
+        listed = await _until_done(lambda: self._store.read(Table.DAEMONS))
+        now = self._clock.now()
+        rows = {row.key: row.content for row in listed.rows if row.content}
+        for name, content in rows.items():
+            listing = notices.decode_listing(content)
+            if listing is None:
+                _log.warning('Row of {} ignored: it can not be read', name)
+            else:
+                self._neighbours.add(name, listing, now)
+        self._has_list = True
+        self._replan()
+        # Who has something newer answers, so that this daemon can serve
+        # before the store has told it anything.
         self._gossip.announce(self._neighbours.all())
+        own = notices.encode(
+            notices.Listing(
+                settings.peer_address,
+                settings.relay_address,
+                settings.availability_zone,
+            )
+        )
+        if rows.get(settings.name) != own:
+            await _until_done(
+                lambda: self._store.put(Table.DAEMONS, settings.name, own)
+            )
 
     def _tell_news(self) -> None:
         now = self._clock.now()
@@ -242,10 +268,12 @@
 
     def _replan(self) -> None:
         """Adapt to the daemons that are there."""
+        now = self._clock.now()
+        if not self._has_list and now - self._started_at < _PLAN_BY:
+            return
         own = Host(
             self._settings.relay_address, self._settings.availability_zone
         )
-        now = self._clock.now()
         hosts = self._neighbours.hosts(now) | {own}
         if hosts != self._hosts:
             self._hosts = hosts
@@ -323,5 +351,21 @@
                 _log.bind(**news).info('Counted')
 
 
+async def _until_done(call: Callable[[], Awaitable[_Result]]) -> _Result:
+    """Call the store until it answers.
+
+    :param call: Makes the call; it may be repeated.
+    :returns: The answer.
+    """
+    pause = _LIST_PAUSE
+    while True:
+        try:
+            return await call()
+        except PlatformError as exc:
+            _log.info('List of daemons not read or written yet: {}', exc)
+        await asyncio.sleep(seconds(pause) * random.uniform(0.5, 1))
+        pause = min(_LONGEST_LIST_PAUSE, pause * 2)
+
+
 def _reload() -> None:
     _log.info('Settings file changed; nothing in it applies at run time')
--- a/monsoonproxy/notices.py
+++ b/monsoonproxy/notices.py
@@ -80,12 +80,27 @@
 
 Notice: TypeAlias = Presence | Question | Opinion | Succession
 
+
+class Listing(msgspec.Struct, frozen=True, array_like=True):
+    """Where a daemon is, as the store lists it.
+
+    :param address: Where it takes notices.
+    :param relay: Where it lends connections.
+    :param zone: Availability zone that its host is in.
+    """
+
+    address: str
+    relay: str
+    zone: str
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Notice)
+_listing_decoder = msgspec.msgpack.Decoder(Listing)
 
 
-def encode(notice: Notice) -> bytes:
-    """Encode a notice.
+def encode(notice: Notice | Listing) -> bytes:
+    """Encode a notice, or what the store lists of a daemon.
 
     :param notice: The notice.
     :returns: The datagram.
@@ -103,3 +118,15 @@
         return _decoder.decode(datagram)
     except msgspec.MsgspecError:
         return None
+
+
+def decode_listing(content: bytes) -> Listing | None:
+    """Decode what the store lists of a daemon.
+
+    :param content: The row.
+    :returns: Where the daemon is, or ``None`` if it is malformed.
+    """
+    try:
+        return _listing_decoder.decode(content)
+    except msgspec.MsgspecError:
+        return None
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -16,6 +16,10 @@
     )
 
 
+def _listing(number: int) -> notices.Listing:
+    return notices.Listing(f'10.0.0.{number}:1', f'10.0.0.{number}:2', 'zone-1')
+
+
 def _neighbours() -> Neighbours:
     return Neighbours('own', random.Random(1))
 
@@ -23,7 +27,7 @@
 def test_silent_daemons_are_gone() -> None:
     """Guards against votes of daemons that are not there any more."""
     known = _neighbours()
-    known.add('listed', '10.0.0.9:1')
+    known.add('listed', _listing(9), Millis(1_000))
     assert known.heard(_presence('a'), Millis(1_000))
     assert not known.heard(_presence('a'), Millis(2_000))
     assert [other.name for other in known.alive(Millis(3_000))] == ['a']
@@ -48,7 +52,7 @@
     """Guards against presences that grow with the square of the daemons."""
     known = _neighbours()
     for number in range(2_399):
-        known.add(f'front-{number}', f'10.0.0.1:{number}')
+        known.add(f'front-{number}', _listing(number), Millis(0))
     # Ten presences a second.
     assert known.interval >= len(known) * 100
 
@@ -83,6 +87,31 @@
     assert not known.hosts(Millis(1_100))
 
 
+def test_listed_daemons_count_at_the_start() -> None:
+    """Guards against a daemon that starts and takes itself for the only one.
+
+    Pattern: all hosts lose power, and all daemons start at the same moment.
+    """
+    known = _neighbours()
+    for number in range(1, 115):
+        known.add(f'front-{number}', _listing(number), Millis(1_000))
+    assert len(known.hosts(Millis(1_001))) == 114
+    known.suspect('10.0.0.7:2')
+    assert len(known.hosts(Millis(1_002))) == 113
+    known.heard(_presence('front-9'), Millis(1_100))
+    assert len(known.alive(Millis(1_200))) == 1
+    # Those that were not heard for long are not there.
+    assert len(known.hosts(Millis(9_000))) == 1
+
+
+def test_listings() -> None:
+    """Guards against rows of other writers, and of earlier versions."""
+    listing = _listing(3)
+    assert notices.decode_listing(notices.encode(listing)) == listing
+    assert notices.decode_listing(b'10.0.0.3:1') is None
+    assert notices.decode_listing(b'') is None
+
+
 def test_malformed_notices() -> None:
     """Guards against a daemon that stops at a datagram of somebody else."""
     assert notices.decode(b'') is None
