Lend connections where opening them all would keep databases busy

After a loss of power, all connect anew: 115 x 27 ms over three slots is 1.0 s of all the work that a database can do. Change: beyond 12 daemons for each slot, few daemons connect and lend, at most 6 for each slot. A service without known servers has no plan yet.

--- a/monsoonproxy/catalog.py
+++ b/monsoonproxy/catalog.py
@@ -165,8 +165,13 @@
         """
         for name, runner in self.runners.items():
             cluster = runner.cluster
+            if not cluster.members:
+                # How many slots a backend server has is not known yet.
+                continue
             before = self._plans.get(name, Plan())
-            plan = make_plan(cluster.rules.connection_limit, daemons, before)
+            plan = make_plan(
+                cluster.rules.connection_limit, cluster.slots, daemons, before
+            )
             if plan != before:
                 _log.info('{}: {} for {} daemons', name, plan, daemons)
             self._plans[name] = plan
--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -79,6 +79,8 @@
         #: Looks for a leader.
         self.on_leaderless: Callable[[], None] = _do_nothing
         self.leaderless_since: Millis | None = None
+        #: When a statement last waited for a leader.
+        self.leader_wanted_at = Millis(0)
         self._shared = shared
         self._maker = MemberMaker(shared)
         self._changed = asyncio.Event()
@@ -92,6 +94,12 @@
         believed = self.leadership.believed()
         return self.members.get(believed) if believed else None
 
+    @property
+    def slots(self) -> int:
+        """Return how many statements each backend server runs at once."""
+        found = (member.server.slots for member in self.members.values())
+        return min(found, default=1)
+
     # Backend servers.
 
     def replan(self, plan: Plan) -> None:
@@ -330,6 +338,7 @@
         """
         deadline = self.clock.now() + limit
         while self.leader is None and deadline > self.clock.now():
+            self.leader_wanted_at = self.clock.now()
             self.search()
             await self.wait_change(deadline - self.clock.now())
         return self.leader
--- a/monsoonproxy/plans.py
+++ b/monsoonproxy/plans.py
@@ -9,6 +9,13 @@
 #: Share of the accepted connections up to which each daemon has its own. After
 #: a loss of power, databases count the old connections for 3 s more.
 _DIRECT_SHARE = 0.65
+#: Daemons for each slot of a database up to which each has its own. After a
+#: loss of power all connect anew, and each new connection takes a slot for 12
+#: to 27 ms, so that the database is busy with them for 0.3 s at most.
+_DIRECT_PER_SLOT = 12
+#: Most lenders for each slot. One of them connects within 12 to 27 ms, the
+#: others serve meanwhile.
+_LENDERS_PER_SLOT = 6
 #: Share of the accepted connections that lenders use together in calm times.
 _LENT_SHARE = 0.5
 #: Lenders without which the loss of two daemons would cut off a database.
@@ -59,19 +66,23 @@
         )
 
 
-def make_plan(connection_limit: int, daemons: int, before: Plan) -> Plan:
+def make_plan(
+    connection_limit: int, slots: int, daemons: int, before: Plan
+) -> Plan:
     """Decide how connections are shared.
 
     :param connection_limit: Connections that a backend server accepts.
+    :param slots: Statements that it runs at once.
     :param daemons: Number of daemons, with this one.
     :param before: The plan in force, which is kept at the border.
     :returns: The plan.
     """
-    most = connection_limit * _DIRECT_SHARE
+    most = min(connection_limit * _DIRECT_SHARE, slots * _DIRECT_PER_SLOT)
     border = most * 1.1 if not before.is_shared else most
     if daemons <= max(1, border):
         share = max(1, min(connection_limit, 2 * connection_limit // daemons))
         return Plan(0, share)
     lenders = int(connection_limit * _LENT_SHARE / _PER_LENDER)
+    lenders = min(lenders, slots * _LENDERS_PER_SLOT)
     lenders = min(connection_limit, max(_LEAST_LENDERS, lenders))
     return Plan(lenders, max(1, connection_limit // lenders))
