Begin with one statement at a time at a backend server

Cause: each daemon began with four statements at once at each database. After a restart of all, 18 lenders send 72 to a database that has 3 slots and 24 places. Change: begin with one and double from round to round until a statement is turned away, then as before. Tests: test_all_daemons_begin_at_once fails before. Two tests set the limit that they assumed at the start; their checks are unchanged.

--- a/monsoonproxy/gates.py
+++ b/monsoonproxy/gates.py
@@ -12,10 +12,14 @@
 from monsoonproxy.queries import Answer, Code
 from monsoonproxy.waiters import Waiter, Waiters
 
-#: Statements at once before anything is known, and at most. A database of two
-#: slots queues 16 more before it turns statements away.
-_INITIAL = 4.0
+#: Statements at once before anything is known. After a loss of power, all
+#: daemons begin at the same moment; a database of two slots queues 16
+#: statements before it turns others away.
+_INITIAL = 1.0
+#: Statements at once at most.
 _MOST = 12.0
+#: Growth per answer until a statement is turned away for the first time.
+_FIRST_INCREASE = 1.0
 #: Factor by which the number falls when a statement is turned away, and the
 #: least time in ms between two falls: one full queue turns away many.
 _DECREASE = 0.6
@@ -29,10 +33,15 @@
 
 
 class Limit:
-    """Additive increase, multiplicative decrease of the statements at once."""
+    """Additive increase, multiplicative decrease of the statements at once.
+
+    It begins low and doubles from round to round until a statement is turned
+    away for the first time.
+    """
 
     def __init__(self) -> None:
         self.current = _INITIAL
+        self._found = False
         self._decreased_at = -_DECREASE_PAUSE
 
     def served(self, running: int) -> None:
@@ -40,15 +49,17 @@
 
         :param running: Statements in work, with this one.
         """
-        if running >= int(self.current):
-            grown = self.current + _INCREASE / self.current
-            self.current = min(_MOST, grown)
+        if not self._found and 2 * running >= int(self.current):
+            self.current = min(_MOST, self.current + _FIRST_INCREASE)
+        elif running >= int(self.current):
+            self.current = min(_MOST, self.current + _INCREASE / self.current)
 
     def turned_away(self, now: Millis) -> None:
         """Take in that a statement was turned away.
 
         :param now: The time.
         """
+        self._found = True
         if now - self._decreased_at >= _DECREASE_PAUSE:
             self._decreased_at = now
             self.current = max(1, self.current * _DECREASE)
--- a/tests/test_gates.py
+++ b/tests/test_gates.py
@@ -22,6 +22,7 @@
 def test_limit_falls_once_per_queue() -> None:
     """Guards against one full queue that closes the gate altogether."""
     limit = Limit()
+    limit.current = 4
     before = limit.current
     for _ in range(10):
         limit.turned_away(Millis(1_000))
@@ -34,6 +35,7 @@
 def test_limit_grows_only_in_use() -> None:
     """Guards against a limit that grows while nothing tests it."""
     limit = Limit()
+    limit.current = 4
     limit.turned_away(Millis(1_000))
     low = limit.current
     limit.served(1)
@@ -43,6 +45,24 @@
     assert limit.current > 10
 
 
+def test_all_daemons_begin_at_once() -> None:
+    """Guards against a full queue at a server right after a restart of all.
+
+    Pattern: 18 daemons that connect to a database of three slots, which queues
+    24 more statements, start at the same moment after a loss of power.
+    """
+    limits = [Limit() for _ in range(18)]
+    assert sum(int(limit.current) for limit in limits) <= 3 + 24
+    # One that has the server for itself is at its full rate in four rounds.
+    for _ in range(4):
+        running = int(limits[0].current)
+        answers = 0
+        while answers < running:
+            limits[0].served(running)
+            answers += 1
+    assert limits[0].current >= 8
+
+
 def test_shares_converge() -> None:
     """Guards against daemons that starve each other at a shared server.
 
