Start quietly: spread presences, read the list again after the first write

Cause: each daemon that starts told all others and each of them answered: 26,000 datagrams when 115 start at once, some 0.1 s of processor time each. Change: a restart is told to 8 daemons at once and to the others within 2 s; answers only go to those that lack something, or on small sites. A new daemon reads the list again after its row is written. Tests: test_all_start_for_the_first_time fails on the code before.

--- a/monsoonproxy/gossip.py
+++ b/monsoonproxy/gossip.py
@@ -17,6 +17,11 @@
 #: Time in ms between two rounds of presences; each round tells the part of
 #: the daemons whose turn it is.
 _ROUND = Millis(250)
+#: Longest time in ms in which the first presences of a daemon reach all others.
+#: All at once would cost each daemon 0.1 s of processor time when all start.
+_FIRST_INTERVAL = Millis(2_000)
+#: Up to this many daemons, each answers a presence of a new one.
+_FEW = 20
 #: Daemons that are told of news at once; they tell others.
 FANOUT = 8
 #: Pause in ms between two fetches, whoever has something newer.
@@ -72,15 +77,19 @@
         """Tell some daemons of this one, again and again."""
         self.announce(self.neighbours.all())
         turn: float = 0
+        interval = _FIRST_INTERVAL
         while True:
             await asyncio.sleep(seconds(_ROUND))
             known = self.neighbours.all()
-            interval = self.neighbours.interval
             if self.is_delegate:
                 interval = min(interval, DELEGATE_INTERVAL)
             last = turn + len(known) * _ROUND / interval
             self.announce(known[int(turn) : int(last)])
-            turn = last if last < len(known) else 0
+            if last < len(known):
+                turn = last
+            elif known:
+                turn = 0
+                interval = self.neighbours.interval
 
     def close(self) -> None:
         """Close the sockets."""
@@ -156,7 +165,8 @@
         version, stamp = self._library.versions()
         if known.version > version or known.stamp > stamp:
             self._fetch(known)
-        if is_new or known.version < version or known.stamp < stamp:
+        is_behind = known.version < version or known.stamp < stamp
+        if is_behind or (is_new and len(self.neighbours) <= _FEW):
             # It learns of this daemon, or that there is something newer.
             self.announce((known,))
 
--- a/monsoonproxy/neighbours.py
+++ b/monsoonproxy/neighbours.py
@@ -173,10 +173,20 @@
         :param now: The time.
         :returns: The daemons.
         """
-        alive = self.alive(now)
-        if len(alive) <= most:
-            return alive
-        return tuple(self._rng.sample(alive, most))
+        return self.pick(self.alive(now), most)
+
+    def pick(
+        self, known: tuple[Neighbour, ...], most: int
+    ) -> tuple[Neighbour, ...]:
+        """Choose some daemons at random.
+
+        :param known: The daemons to choose from.
+        :param most: How many.
+        :returns: The daemons.
+        """
+        if len(known) <= most:
+            return known
+        return tuple(self._rng.sample(known, most))
 
     def all(self) -> tuple[Neighbour, ...]:
         """Return all known daemons.
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -46,8 +46,9 @@
 _LIST_PAUSE = 100
 _LONGEST_LIST_PAUSE = 3_200
 #: Time in ms after the start within which no connections are opened ahead
-#: while the list of daemons is not known. A slow store takes some 300 ms.
-_PLAN_BY = Millis(400)
+#: while the list of daemons is not complete. When all daemons start for the
+#: first time, the store takes 0.5 s for their rows.
+_PLAN_BY = Millis(1_000)
 #: Time in ms between two lines with what was counted.
 _REPORT = Millis(5_000)
 #: A task that has nothing left to do may return.
@@ -82,7 +83,7 @@
         self._supervisor = Supervisor('node', clock)
         self._neighbours = Neighbours(settings.name, rng)
         self._started_at = clock.now()
-        #: Whether the list of daemons was read.
+        #: Whether the list of daemons was read, with this one in it.
         self._has_list = False
         self._placement = Placement()
         self._hosts: frozenset[Host] = frozenset()
@@ -226,20 +227,6 @@
     async def _join(self) -> None:
         """Learn where the others are, and tell them where this daemon is."""
         settings = self._settings
-        listed = await _until_done(lambda: self._store.read(Table.DAEMONS))
-        now = self._clock.now()
-        rows = {row.key: row.content for row in listed.rows if row.content}
-        for name, content in rows.items():
-            listing = notices.decode_listing(content)
-            if listing is None:
-                _log.warning('Row of {} ignored: it can not be read', name)
-            else:
-                self._neighbours.add(name, listing, now)
-        self._has_list = True
-        self._replan()
-        # Who has something newer answers, so that this daemon can serve
-        # before the store has told it anything.
-        self._gossip.announce(self._neighbours.all())
         own = notices.encode(
             notices.Listing(
                 settings.peer_address,
@@ -247,10 +234,38 @@
                 settings.availability_zone,
             )
         )
-        if rows.get(settings.name) != own:
+        rows = await self._read_list()
+        is_new = rows.get(settings.name) != own
+        # Those that have something newer answer, so that this daemon can serve
+        # before the store has told it anything. The others hear of it soon;
+        # they know where it is unless it is new.
+        known = self._neighbours.all()
+        self._gossip.announce(
+            known if is_new else self._neighbours.pick(known, FANOUT)
+        )
+        if is_new:
             await _until_done(
                 lambda: self._store.put(Table.DAEMONS, settings.name, own)
             )
+            # Of two daemons that start at the same time, one at least finds
+            # the other's row.
+            await self._read_list()
+            self._gossip.announce(self._neighbours.all())
+        self._has_list = True
+        self._replan()
+
+    async def _read_list(self) -> dict[str, bytes]:
+        """Read the list of daemons; return its rows."""
+        listed = await _until_done(lambda: self._store.read(Table.DAEMONS))
+        now = self._clock.now()
+        rows = {row.key: row.content for row in listed.rows if row.content}
+        for name, content in rows.items():
+            listing = notices.decode_listing(content)
+            if listing is None:
+                _log.warning('Row of {} ignored: it can not be read', name)
+            else:
+                self._neighbours.add(name, listing, now)
+        return rows
 
     def _tell_news(self) -> None:
         now = self._clock.now()
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -1,8 +1,11 @@
 """Tests of daemons that start while others run."""
 
+import asyncio
+from collections.abc import AsyncIterator
+
 from stand_ins.site import CURRENT, SiteStandIn
 
-from tests.fixtures import load_functions
+from tests.fixtures import fixture, load_functions
 from tests.platform_sites import until
 
 load_tests = load_functions(__name__)
@@ -23,6 +26,26 @@
     assert not (await caller.run('READ a')).code
 
 
+@fixture
+async def new_site() -> AsyncIterator[SiteStandIn]:
+    """Yield a site whose daemons all start for the first time, at once."""
+    site = SiteStandIn(daemons=0)
+    site.platform.faults.delay = 0.05
+    await site.start()
+    await asyncio.gather(*(site.add_node() for _ in range(8)))
+    yield site
+    await site.stop()
+
+
+async def test_all_start_for_the_first_time(new_site: SiteStandIn) -> None:
+    """Guards against daemons that never hear of each other.
+
+    Pattern: all read the list before any of them has written its row.
+    """
+    for node in new_site.nodes:
+        await until(lambda each=node: each.gauges()['daemons_alive'] == 7)
+
+
 async def test_restart_writes_nothing(platform_site: SiteStandIn) -> None:
     """Guards against a write to the store for each daemon that starts again."""
     settings = platform_site.settings('front-3')
