Acknowledge commits only once the successor has them, while a leader leaves

Cause: a successor leads with what it has received. Commits that the leader acknowledged after the look at the replicas, and that were still on their way when the promotion was carried out, were rolled back: a booking that its caller was told is lost. Ruled out: pausing writes until the promotion is carried out (0.3 to 1 s without any write, for some ms of commits); DEMOTE first, for the same reason. Change: while the leader is about to leave, or a successor is announced, the daemon that ran a commit asks the successor for its position before it answers; if the leader is replaced before, the outcome is in doubt.

--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -366,6 +366,25 @@
         :param lane: The connections to use, if not any.
         :returns: The answer, or ``None`` if it can't be reached.
         """
+        try:
+            return await self.ask(member, limit, lane)
+        except (ConnectionLostError, LaneFullError, ServerGoneError):
+            return None
+
+    async def ask(
+        self, member: Member, limit: float, lane: Lane | None = None
+    ) -> Answer:
+        """Ask a backend server whether it leads, as :meth:`probe` does.
+
+        :param member: The backend server.
+        :param limit: Longest wait in ms.
+        :param lane: The connections to use, if not any.
+        :returns: The answer.
+        :raises ConnectionLostError: If it can't be reached, or a daemon that
+            lends connections to it does not answer.
+        :raises LaneFullError: If no connection can be had in time.
+        :raises ServerGoneError: If its address belongs to another one.
+        """
         self.telemetry.count('probes')
         lane = lane or self._maker.usable_lane(member)
         try:
@@ -377,8 +396,6 @@
                 return answer
         except NotLeadingError:
             return Answer(b'', TransactionState.IDLE, code=Code.READ_ONLY)
-        except (ConnectionLostError, LaneFullError, ServerGoneError):
-            return None
 
     @contextlib.asynccontextmanager
     async def _leased(
--- a/monsoonproxy/leadership.py
+++ b/monsoonproxy/leadership.py
@@ -34,6 +34,9 @@
         #: The greatest term seen in answers.
         self.term = 0
         self._claims: dict[str, _Claim] = {}
+        #: Who was last ordered to take the lead, and when.
+        self._successor = ''
+        self._announced_at = Millis(0)
 
     def accepted(self, server_id: str, term: int) -> bool:
         """Take in that a backend server accepted a plain transaction.
@@ -67,6 +70,28 @@
         """
         self._claim(server_id).said_at = now
 
+    def announced(self, server_id: str, now: Millis) -> None:
+        """Take in that a backend server was ordered to take the lead.
+
+        :param server_id: Its identity.
+        :param now: The time.
+        """
+        self._successor = server_id
+        self._announced_at = now
+        self.said(server_id, now)
+
+    def successor(self, now: Millis, within: Millis) -> str | None:
+        """Return who was ordered to take the lead, and does not lead yet.
+
+        :param now: The time.
+        :param within: Longest time in ms since the order.
+        :returns: The identity, or ``None`` if there was no order lately.
+        """
+        is_recent = now - self._announced_at <= within
+        if not is_recent or self._successor in {'', self.leader}:
+            return None
+        return self._successor
+
     def unsaid(self, server_id: str) -> None:
         """Take in that a backend server calls itself a replica.
 
--- a/monsoonproxy/pinned.py
+++ b/monsoonproxy/pinned.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from monsoonproxy import selection
+from monsoonproxy import handover, selection
 from monsoonproxy.clock import Millis
 from monsoonproxy.clusters import Cluster, Lease, NotLeadingError
 from monsoonproxy.exceptions import ConnectionLostError
@@ -73,7 +73,9 @@
         answer = await self._send_commit(job, lease)
         lease.clean = answer.code not in {Code.IN_DOUBT, Code.ABORTED}
         self._give_back()
-        return answer
+        if not self.wrote:
+            return answer
+        return await handover.settle(self.runner, job, lease.member, answer)
 
     def end(self) -> None:
         """Roll back without waiting for it."""
--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -208,11 +208,12 @@
         if token is None:
             _log.info('Another daemon promotes for {}', service)
             return await _taken_over(cluster)
+        cluster.leadership.announced(target, self._clock.now())
         self._tell(service, target, token)
         if not await self._order(service, target, token):
             return False
         self._tell(service, target, token)
-        cluster.leadership.said(target, self._clock.now())
+        cluster.leadership.announced(target, self._clock.now())
         cluster.search()
         return await _taken_over(cluster)
 
@@ -295,7 +296,8 @@
         runner = self._find(succession.service)
         if runner is not None:
             cluster = runner.cluster
-            cluster.leadership.said(succession.server_id, self._clock.now())
+            now = self._clock.now()
+            cluster.leadership.announced(succession.server_id, now)
             cluster.search()
 
 
--- a/monsoonproxy/writing.py
+++ b/monsoonproxy/writing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from monsoonproxy import handover
 from monsoonproxy.clock import seconds
 from monsoonproxy.clusters import Lease
 from monsoonproxy.jobs import NOT_RUN, Job
@@ -28,7 +29,7 @@
         if leader is not None:
             answer = await _write_in_time(runner, job, leader)
             if answer is not None:
-                return answer
+                return await handover.settle(runner, job, leader, answer)
     return runner.failure(Code.BUSY, f'not written: {job.tried}')
 
 
--- a/tests/test_platform_failover.py
+++ b/tests/test_platform_failover.py
@@ -87,6 +87,39 @@
     assert not platform_site.group.rolled_back
 
 
+async def test_hand_over_keeps_commits(platform_site: SiteStandIn) -> None:
+    """Guards against acknowledged commits that a planned change rolls back.
+
+    Pattern: all daemons write without a pause while their primary leaves, and
+    replicas receive nothing any more once the promotion is ordered.
+    """
+    group, old = platform_site.group, platform_site.leader
+    callers = [await platform_site.caller(CURRENT, n) for n in range(3)]
+    acknowledged: set[bytes] = set()
+
+    async def book(number: int) -> None:
+        turn = 0
+        while group.leader is old:
+            request_id = f'{number}-{turn}'
+            turn += 1
+            reply = await callers[number].run('WRITE a 1', request_id)
+            if not reply.code:
+                acknowledged.add(request_id.encode())
+
+    writing = asyncio.gather(*map(book, range(3)))
+    await asyncio.sleep(0.2)
+    old.state = 'draining'
+    platform_site.platform.enter(old)
+    await until(lambda: bool(platform_site.platform.orders))
+    for database in platform_site.databases:
+        database.faults.deaf = True
+    await writing
+    assert acknowledged
+    log = platform_site.leader.log
+    kept = {name for entry in log for name in entry.request_ids}
+    assert acknowledged <= kept
+
+
 async def test_one_daemon_cut_off(larger_site: SiteStandIn) -> None:
     """Guards against a replacement since one daemon misses the leader."""
     caller = await larger_site.caller(CURRENT)
