Do not take a lender's silence for that of the leader

Cause: after a loss of power of all hosts, borrowers that found no lender yet counted the leader as missing, and told so those that asked; lenders counted it as missing while their connections were being opened. Ruled out: a database in trouble (its entries did not change). Change: evidence is reached, missing or unknown. Who borrows asks the daemons that connect to the leader themselves, has no vote unless a lender says that it can't connect, and does not answer questions. A server that accepts connections and has never answered this daemon may be busy for 0.7 s. Tests: test_no_evidence_of_ones_own; test_no_lender_is_no_evidence holds the promise over whole daemons but also passes before, since lenders that are gone are replaced at once there.

--- a/monsoonproxy/juries.py
+++ b/monsoonproxy/juries.py
@@ -12,7 +12,7 @@
 from monsoonproxy.logs import log_for
 from monsoonproxy.members import Member
 from monsoonproxy.running import Runner
-from monsoonproxy.verdicts import Finding, Tally
+from monsoonproxy.verdicts import Evidence, Tally
 
 _log = log_for('jury')
 
@@ -55,14 +55,15 @@
         gossip.handlers[notices.Question] = self._take_question
         gossip.handlers[notices.Opinion] = self._take_opinion
 
-    async def ask(self, service: str, server_id: str) -> Finding:
+    async def ask(self, service: str, member: Member) -> Tally:
         """Ask other daemons whether they miss a leader too.
 
         :param service: Name of the service.
-        :param server_id: Identity of the leader.
-        :returns: What to do, and who reaches it.
+        :param member: The leader.
+        :returns: Their opinions.
         """
-        asked = self._choose()
+        server_id = member.server.server_id
+        asked = self._choose(member)
         number = next(self._numbers)
         tally = Tally(len(asked))
         settled = asyncio.Event()
@@ -77,20 +78,24 @@
                 break
         self._tallies.pop(number)
         self._settled.pop(number)
-        verdict = tally.verdict()
         _log.bind(
             service=service,
             server=server_id,
             asked=tally.asked,
             missing=len(tally.missing),
             reaching=len(tally.reaching),
-            verdict=verdict.value,
         ).info('Others asked about a leader')
-        return Finding(verdict, frozenset(tally.reaching))
+        return tally
 
-    def _choose(self) -> list[str]:
+    def _choose(self, member: Member) -> list[str]:
+        """Return whom to ask: those that connect to the leader themselves."""
+        lenders = member.borrowed.lenders()
         alive = self._gossip.neighbours.alive(self._clock.now())
-        addresses = [known.address for known in alive if not known.leaving]
+        addresses = [
+            known.address
+            for known in alive
+            if not known.leaving and (not lenders or known.relay in lenders)
+        ]
         if len(addresses) <= _JURY:
             return addresses
         return self._rng.sample(addresses, _JURY)
@@ -103,18 +108,23 @@
         if runner is None:
             return
         member = runner.cluster.members.get(question.server_id)
-        reachable = member is not None and await self._reaches(runner, member)
+        if member is None:
+            return
+        evidence = await self._evidence(runner, member)
+        if evidence is Evidence.UNKNOWN:
+            return
+        reachable = evidence is Evidence.REACHED
         opinion = notices.Opinion(self._gossip.name, question.number, reachable)
         self._gossip.send(opinion, address)
-        if member is not None and not reachable:
+        if not reachable:
             self.on_missing(runner, member)
 
-    async def _reaches(self, runner: Runner, member: Member) -> bool:
+    async def _evidence(self, runner: Runner, member: Member) -> Evidence:
         if member.silent_since is not None:
-            return False
+            return Evidence.MISSING
         if self._clock.now() - member.answered_at < _RECENT:
-            return True
-        return await runner.leaders.responds(member, PROBE_LIMIT)
+            return Evidence.REACHED
+        return await runner.leaders.evidence(member, PROBE_LIMIT)
 
     def _take_opinion(self, opinion: notices.Opinion, _address: str) -> None:
         tally = self._tallies.get(opinion.number)
--- a/monsoonproxy/leaders.py
+++ b/monsoonproxy/leaders.py
@@ -5,8 +5,10 @@
 from monsoonproxy.clock import Millis, seconds
 from monsoonproxy.clusters import PROBE_TIMEOUT, Cluster
 from monsoonproxy.exceptions import ConnectionLostError
+from monsoonproxy.lanes import LaneFullError, ServerGoneError
 from monsoonproxy.members import Member
-from monsoonproxy.wires import open_wire
+from monsoonproxy.verdicts import Evidence
+from monsoonproxy.wires import ServerWire, greet
 
 #: Longest time in ms in which a leader is replaced: detection, orders that
 #: are sent again, and 1 s to carry one out. Later, callers are told at once
@@ -75,33 +77,57 @@
         )
         return bool(done) and sampling.result()
 
-    async def responds(self, member: Member, limit: float) -> bool:
-        """Tell whether a backend server gives a sign of life.
+    async def evidence(self, member: Member, limit: float) -> Evidence:
+        """Look for a sign of life of a backend server.
 
         If all connections are in use, another one is opened for it; that it
         is refused for the number of connections is an answer too.
 
         :param member: The backend server.
         :param limit: Longest wait in ms.
-        :returns: Whether it answered.
+        :returns: Whether it answered, if that can be told.
         """
         cluster = self._cluster
         lane = member.lane
-        if lane.has_idle or lane is not member.direct:
-            return await cluster.probe(member, limit, lane) is not None
+        if lane is not member.direct:
+            return await self._evidence_of_lender(member, limit)
+        if lane.has_idle:
+            answer = await cluster.probe(member, limit, lane)
+            return Evidence.MISSING if answer is None else Evidence.REACHED
         if cluster.clock.now() - member.answered_at < _OPEN_TO_PROBE:
             await asyncio.sleep(seconds(_SEARCH_PAUSE))
-            return True
+            return Evidence.REACHED
+        return await self._open_to_probe(member, limit)
+
+    async def _evidence_of_lender(
+        self, member: Member, limit: float
+    ) -> Evidence:
+        try:
+            await self._cluster.ask(member, limit, member.lane)
+        except ConnectionLostError as exc:
+            # A lender that can't connect says so; one that is silent may be
+            # cut off itself.
+            return Evidence.UNKNOWN if exc.sent else Evidence.MISSING
+        except (LaneFullError, ServerGoneError):
+            return Evidence.UNKNOWN
+        return Evidence.REACHED
+
+    async def _open_to_probe(self, member: Member, limit: float) -> Evidence:
+        cluster = self._cluster
         cluster.telemetry.count('probes_by_opening')
+        wire = ServerWire(cluster.dialect, member.server, cluster.clock)
         try:
             async with asyncio.timeout(seconds(max(1, int(limit)))):
-                wire, _answer = await open_wire(
-                    cluster.dialect, member.server, cluster.clock
-                )
-        except (ConnectionLostError, TimeoutError):
-            return False
-        wire.close()
-        return True
+                await greet(wire)
+        except TimeoutError:
+            if wire.connected and member.may_be_busy(cluster.clock.now()):
+                return Evidence.UNKNOWN
+            return Evidence.MISSING
+        except ConnectionLostError:
+            return Evidence.MISSING
+        finally:
+            wire.abort()
+        return Evidence.REACHED
 
     async def _search(self, name: str) -> None:
         cluster = self._cluster
--- a/monsoonproxy/members.py
+++ b/monsoonproxy/members.py
@@ -20,6 +20,12 @@
 _FALLBACK_LENDERS = 16
 
 
+#: Time in ms that a backend server may need to open a connection after a
+#: restart of all daemons: at most 12 for each slot, 27 ms each, and as long
+#: again for those that were on their way.
+_BUSY_OPENING = Millis(700)
+
+
 @attrs.define
 class Member:
     """A backend server with its connections and what is known about it.
@@ -33,6 +39,8 @@
     :param record: Measurements.
     :param answered_at: When it last answered.
     :param silent_since: Since when an answer is overdue, or ``None``.
+    :param opening_since: Since when its host accepts connections while the
+        server has never answered, or ``None``.
     """
 
     server: Server
@@ -43,6 +51,7 @@
     record: selection.Record = attrs.Factory(selection.Record)
     answered_at: Millis = Millis(0)
     silent_since: Millis | None = None
+    opening_since: Millis | None = None
 
     def answered(self, now: Millis) -> None:
         """Take in a sign of life.
@@ -52,6 +61,18 @@
         self.answered_at = now
         self.silent_since = None
 
+    def may_be_busy(self, now: Millis) -> bool:
+        """Take in that its host accepted a connection and it said nothing.
+
+        :param now: The time.
+        :returns: Whether it may only be busy with opening connections, since
+            this daemon and others started just now.
+        """
+        if self.opening_since is None:
+            self.opening_since = now
+        is_new = self.answered_at == 0
+        return is_new and now - self.opening_since < _BUSY_OPENING
+
 
 @attrs.frozen
 class Surroundings:
--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -26,6 +26,7 @@
 from monsoonproxy.stores import Store
 from monsoonproxy.tokenbook import TokenBook
 from monsoonproxy.verdicts import (
+    Evidence,
     Finding,
     Survey,
     Verdict,
@@ -161,25 +162,29 @@
     async def _judge(self, runner: Runner, member: Member) -> Finding | None:
         """Decide about a leader; return ``None`` if it answers."""
         service, name = runner.cluster.rules.name, member.server.server_id
-        missing, finding = await asyncio.gather(
-            self._is_missing(runner, member), self._jury.ask(service, name)
+        own, tally = await asyncio.gather(
+            self._evidence(runner, member), self._jury.ask(service, member)
         )
-        if not missing:
+        if own is Evidence.REACHED:
             return None
-        _log.info('{} is missing; verdict: {}', name, finding.verdict.value)
+        finding = Finding(tally.verdict(own=own), frozenset(tally.reaching))
+        _log.bind(own=own.value).info(
+            '{} is missing; verdict: {}', name, finding.verdict.value
+        )
         return finding
 
-    async def _is_missing(self, runner: Runner, member: Member) -> bool:
-        """Tell whether a backend server gives no sign of life."""
+    async def _evidence(self, runner: Runner, member: Member) -> Evidence:
+        """Look for a sign of life of a backend server for some time."""
         began = self._clock.now()
         refusals = 0
+        found = Evidence.UNKNOWN
         while self._clock.now() - began < DETECTION and refusals < _REFUSALS:
-            responds = await runner.leaders.responds(member, PROBE_LIMIT)
-            if responds or member.answered_at > began:
-                return False
+            found = await runner.leaders.evidence(member, PROBE_LIMIT)
+            if found is Evidence.REACHED or member.answered_at > began:
+                return Evidence.REACHED
             refusals += int(member.lane.refused_at >= began)
             await asyncio.sleep(seconds(_PROBE_PAUSE))
-        return True
+        return found
 
     async def _replace(self, runner: Runner, member: Member) -> bool:
         """Promote another backend server; return whether there is a leader."""
--- a/monsoonproxy/remotes.py
+++ b/monsoonproxy/remotes.py
@@ -337,6 +337,13 @@
         """
         self._only = relays
 
+    def lenders(self) -> frozenset[str]:
+        """Return which daemons hold connections to the backend server.
+
+        :returns: Addresses of their relays.
+        """
+        return frozenset(host.address for host in self._lenders())
+
     def warm_up(self) -> None:
         """Do nothing; lenders open their connections themselves."""
 
--- a/monsoonproxy/verdicts.py
+++ b/monsoonproxy/verdicts.py
@@ -13,6 +13,16 @@
 _MISSING_SHARE = 0.25
 
 
+class Evidence(enum.Enum):
+    """What a daemon knows of whether it reaches a leader."""
+
+    REACHED = 'reached'
+    MISSING = 'missing'
+    #: The way to it leads through a daemon that does not answer, or it is too
+    #: busy to open a connection.
+    UNKNOWN = 'unknown'
+
+
 class Verdict(enum.Enum):
     """What to do about a leader that this daemon can't reach."""
 
@@ -28,7 +38,7 @@
 class Tally:
     """The opinions of the daemons that were asked.
 
-    :param asked: How many were asked.
+    :param asked: How many were asked. Those that don't know do not answer.
     :param missing: Names of those that don't reach the leader.
     :param reaching: Names of those that do.
     """
@@ -51,18 +61,20 @@
         complete = len(self.missing) + len(self.reaching) >= self.asked
         return complete or self.verdict() is Verdict.REPLACE
 
-    def verdict(self) -> Verdict:
-        """Decide, counting this daemon as one that misses the leader.
+    def verdict(self, *, own: Evidence = Evidence.MISSING) -> Verdict:
+        """Decide what to do.
 
         Daemons that don't answer may be together with the leader on the other
         side of a partition. If they are more than those that miss it, the
         leader stays, since it serves more callers there.
 
+        :param own: What this daemon knows itself.
         :returns: The verdict.
         """
+        misses_it = own is Evidence.MISSING
         if not self.asked:
-            return Verdict.ALONE
-        missing = len(self.missing) + 1
+            return Verdict.ALONE if misses_it else Verdict.KEEP
+        missing = len(self.missing) + int(misses_it)
         silent = self.asked - len(self.missing) - len(self.reaching)
         enough = missing >= _MISSING_SHARE * (self.asked + 1)
         return Verdict.REPLACE if enough and missing >= silent else Verdict.KEEP
--- a/monsoonproxy/wires.py
+++ b/monsoonproxy/wires.py
@@ -109,6 +109,15 @@
         """
         return self._waiter is not None
 
+    @property
+    def connected(self) -> bool:
+        """Tell whether the backend server's host accepted the connection."""
+        return self._transport is not None
+
+    def hello(self) -> bytes:
+        """Return the message that opens a session."""
+        return self._dialect.open(self.server.service, self.server.server_id)
+
     def exchange(
         self, payload: bytes, count: int = 1
     ) -> 'asyncio.Future[list[Answer]]':
@@ -208,14 +217,27 @@
     :returns: The connection and the answer to its opening.
     :raises ConnectionLostError: If it can't be reached in time.
     """
-    host, port = server.address.rsplit(':', 1)
     wire = ServerWire(dialect, server, clock)
+    answer = await greet(wire)
+    if answer.code is not None:
+        wire.abort()
+    return wire, answer
+
+
+async def greet(wire: ServerWire) -> Answer:
+    """Connect to a backend server and open a session.
+
+    :param wire: A connection that is not open yet.
+    :returns: The answer to its opening.
+    :raises ConnectionLostError: If it can't be reached in time.
+    """
+    server = wire.server
+    host, port = server.address.rsplit(':', 1)
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(seconds(OPEN_TIMEOUT)):
             await loop.create_connection(lambda: wire, host, int(port))
-            hello = dialect.open(server.service, server.server_id)
-            answers = await wire.exchange(hello)
+            answers = await wire.exchange(wire.hello())
     except TimeoutError:
         wire.abort()
         raise ConnectionLostError(
@@ -232,9 +254,7 @@
     except BaseException:
         wire.abort()
         raise
-    if answers[0].code is not None:
-        wire.abort()
-    return wire, answers[0]
+    return answers[0]
 
 
 def reveal_silence(sock: socket.socket) -> None:
--- a/tests/test_platform_lending.py
+++ b/tests/test_platform_lending.py
@@ -143,6 +143,27 @@
     assert not crowded_site.leader.log
 
 
+async def test_no_lender_is_no_evidence(crowded_site: SiteStandIn) -> None:
+    """Guards against a promotion since the daemons that lend are gone.
+
+    Pattern: all lenders are killed, or start at the same time as those that
+    borrow from them; the primary is well.
+    """
+    borrowing = {
+        number
+        for number, node in enumerate(crowded_site.nodes)
+        if _borrows(node)
+    }
+    callers = [await crowded_site.caller(CURRENT, n) for n in borrowing]
+    for number in set(range(_DAEMONS)) - borrowing:
+        await crowded_site.nodes[number].abort()
+    replies = await asyncio.gather(
+        *(caller.run('WRITE a 1') for caller in callers)
+    )
+    assert not any(reply.code for reply in replies), replies
+    assert not crowded_site.platform.orders
+
+
 async def test_failover_of_lent_leader(crowded_site: SiteStandIn) -> None:
     """Guards against a leader that only borrowers miss, or nobody does."""
     callers = [
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -2,6 +2,7 @@
 
 from monsoonproxy.models import Position
 from monsoonproxy.verdicts import (
+    Evidence,
     Survey,
     Tally,
     Verdict,
@@ -52,6 +53,20 @@
     assert _tally(13, 8, 0).verdict() is Verdict.REPLACE
 
 
+def test_no_evidence_of_ones_own() -> None:
+    """Guards against a promotion since lenders are not there yet.
+
+    Pattern: all daemons start again at the same moment; those that borrow
+    connections know nothing of the leader, and those that lend some open them.
+    """
+    unknown = Evidence.UNKNOWN
+    assert _tally(16, 0, 0).verdict(own=unknown) is Verdict.KEEP
+    assert _tally(16, 3, 2).verdict(own=unknown) is Verdict.KEEP
+    assert _tally(0, 0, 0).verdict(own=unknown) is Verdict.KEEP
+    # Those that connect themselves are enough.
+    assert _tally(16, 10, 0).verdict(own=unknown) is Verdict.REPLACE
+
+
 def test_nobody_to_ask() -> None:
     """Guards against a single daemon that never replaces a primary."""
     assert _tally(0, 0, 0).verdict() is Verdict.ALONE
