Count the opening of a connection as an answer; follow an announced successor

Change: the opening of a connection counts as an answer; an announced successor is looked at until it leads; a new leader ends the waits at the one before.

--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -295,8 +295,11 @@
         name = lease.member.server.server_id
         self.floors.add(lease.wire.sent_at, answer.position)
         self.leaderless_since = None
+        before = self.leader
         if self.leadership.accepted(name, answer.position.term):
             _log.info('{} leads in term {}', name, answer.position.term)
+            if before is not None and before is not lease.member:
+                before.interrupt()
             self._notify()
 
     def not_leading(self, member: Member) -> None:
@@ -309,8 +312,7 @@
         if self.leadership.refused(name, self.clock.now()):
             _log.info('{} does not lead any more', name)
         if was_believed:
-            # Callers that wait for it go to its successor.
-            member.lane.interrupt()
+            member.interrupt()
             self._notify()
         self.search()
 
--- a/monsoonproxy/lanes.py
+++ b/monsoonproxy/lanes.py
@@ -157,6 +157,8 @@
         #: When a connection was last refused, and when for their number.
         self.refused_at = Millis(0)
         self.over_limit_at = Millis(0)
+        #: When the backend server last answered the opening of a connection.
+        self.greeted_at = Millis(0)
         #: Is told when no connection can be opened.
         self.on_failure: Callable[[], None] = _ignore
         self._telemetry = telemetry
@@ -356,6 +358,7 @@
             self._not_opened(exc, too_many=False)
             return
         now = self._clock.now()
+        self.greeted_at = now
         if answer.code is Code.WRONG_SERVER:
             _log.info('{} is not at its address', self.server.server_id)
             self._pool.open_failed(too_many=False, now=now)
--- a/monsoonproxy/members.py
+++ b/monsoonproxy/members.py
@@ -61,6 +61,11 @@
         self.answered_at = now
         self.silent_since = None
 
+    def interrupt(self) -> None:
+        """End all waits for connections; those go to another leader."""
+        self.direct.interrupt()
+        self.borrowed.interrupt()
+
     def may_be_busy(self, now: Millis) -> bool:
         """Take in that its host accepted a connection and it said nothing.
 
@@ -70,7 +75,7 @@
         """
         if self.opening_since is None:
             self.opening_since = now
-        is_new = self.answered_at == 0
+        is_new = self.answered_at == 0 and self.direct.greeted_at == 0
         return is_new and now - self.opening_since < _BUSY_OPENING
 
 
--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from monsoonproxy import notices
+from monsoonproxy.background import Background
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.clusters import Cluster
 from monsoonproxy.dialects import Dialect
@@ -42,6 +43,8 @@
 DETECTION = Millis(240)
 #: Pause in ms between two probes of a leader in doubt.
 _PROBE_PAUSE = 30
+#: Pause in ms between two looks at a successor that another daemon announced.
+_FOLLOW_PAUSE = 60
 #: Refused connections after which a leader is missing.
 _REFUSALS = 2
 #: Delay in ms by which daemons start one after another, so that one claim is
@@ -86,6 +89,7 @@
         self._find = find
         self._clock = clock
         self._active: dict[str, asyncio.Task[None]] = {}
+        self._tasks = Background()
         jury.on_missing = self._also_missing
         gossip.handlers[notices.Succession] = self._take_succession
 
@@ -303,7 +307,19 @@
             cluster = runner.cluster
             now = self._clock.now()
             cluster.leadership.announced(succession.server_id, now)
-            cluster.search()
+            self._tasks.spawn(self._follow(cluster, succession.server_id))
+
+    async def _follow(self, cluster: Cluster, target: str) -> None:
+        """Look at an announced successor until it leads.
+
+        This daemon may take the old leader for well, for want of evidence.
+        """
+        until = self._clock.now() + TAKEOVER_LIMIT
+        while cluster.leadership.leader != target and self._clock.now() < until:
+            member = cluster.members.get(target)
+            if member is not None:
+                await cluster.probe(member)
+            await asyncio.sleep(seconds(_FOLLOW_PAUSE))
 
 
 def _others(cluster: Cluster, member: Member) -> list[Member]:
