Lose no TLS record that arrives between request and upgrade

Traced by reading: the bytes that arrived with the request are taken, then the task of the upgrade is made, which begins in the loop's next round; that round reads first, and a record that comes then went to the plain stream, where nobody reads it. Change: reading pauses before the bytes are taken.

--- a/monsoonproxy/streams.py
+++ b/monsoonproxy/streams.py
@@ -285,6 +285,9 @@
         """
         loop = asyncio.get_running_loop()
         plain = self.transport
+        # The upgrade begins in the loop's next round, which reads first; a
+        # record that arrived then would be taken for a packet and be lost.
+        plain.pause_reading()
         early = self._input
         self._input = None
         upgrade = loop.create_task(
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -152,6 +152,24 @@
     assert (await caller.reader.readexactly(1)) == b'\x16'
 
 
+async def test_record_before_the_upgrade() -> None:
+    """Guards against a TLS record that is lost between request and upgrade.
+
+    Seen as a handshake without an end while the machine was busy: the record
+    arrived before the task of the upgrade had begun.
+    """
+    transport = mock.Mock()
+    stream = PacketStream(mock.Mock(), 1024)
+    stream.transport = transport
+    upgrading = stream.start_tls(ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER))
+    # Runs until it waits for the upgrade, whose task has not begun yet.
+    upgrading.send(None)
+    transport.pause_reading.assert_called_once()
+    upgrading.close()
+    for begun in asyncio.all_tasks() - {asyncio.current_task()}:
+        begun.cancel()
+
+
 async def test_passwords(running: Running) -> None:
     """Guards against a caller that goes on without the right password."""
     # SHA1(SHA1('secret')), as MySQL stores it.
