--- a/monsoonproxy/remotes.py
+++ b/monsoonproxy/remotes.py
@@ -196,8 +196,12 @@
     async def _watch(self) -> None:
         """Look for signs of life while the daemon owes answers."""
         while self._waiting and self._transport is not None:
+            looked_at = self._clock.now()
             await asyncio.sleep(seconds(_PING_AFTER))
-            if self._waiting:
+            if self._clock.now() - looked_at >= 2 * _PING_AFTER:
+                # This daemon stood still; what came is not read yet.
+                self._heard_at = self._clock.now()
+            elif self._waiting:
                 self._check_silence()
 
     def _check_silence(self) -> None:
--- a/tests/test_remotes.py
+++ b/tests/test_remotes.py
@@ -88,6 +88,19 @@
     asking.cancel()
 
 
+async def test_own_pause_is_not_the_lenders(lender: _Lender) -> None:
+    """Guards against leases that end since this daemon was frozen.
+
+    Pattern: the host freezes for a second and wakes again.
+    """
+    asking = asyncio.ensure_future(lender.link.ask(_SERVER, _CLAIM))
+    await asyncio.sleep(0.2)
+    time.sleep(1)
+    await asyncio.sleep(0.3)
+    assert not asking.done()
+    asking.cancel()
+
+
 async def test_owed_answers_end_with_the_lender(lender: _Lender) -> None:
     """Guards against statements without an outcome for seconds."""
     asking = asyncio.ensure_future(lender.link.ask(_SERVER, _CLAIM))
