Bound the first presences of a daemon by their rate

At 2,400 daemons, all within 2 s would be 1,200 datagrams a second from each that starts; now 60 a second. Nothing changes up to 120 daemons.

--- a/monsoonproxy/gossip.py
+++ b/monsoonproxy/gossip.py
@@ -17,9 +17,11 @@
 #: Time in ms between two rounds of presences; each round tells the part of
 #: the daemons whose turn it is.
 _ROUND = Millis(250)
-#: Longest time in ms in which the first presences of a daemon reach all others.
-#: All at once would cost each daemon 0.1 s of processor time when all start.
+#: Least time in ms in which the first presences of a daemon reach all others,
+#: and how many it sends per second at most. All at once would cost each daemon
+#: 0.1 s of processor time when 115 start.
 _FIRST_INTERVAL = Millis(2_000)
+_FIRST_PER_S = 60
 #: Up to this many daemons, each answers a presence of a new one.
 _FEW = 20
 #: Daemons that are told of news at once; they tell others.
@@ -77,10 +79,14 @@
         """Tell some daemons of this one, again and again."""
         self.announce(self.neighbours.all())
         turn: float = 0
-        interval = _FIRST_INTERVAL
+        is_first = True
         while True:
             await asyncio.sleep(seconds(_ROUND))
             known = self.neighbours.all()
+            interval = self.neighbours.interval
+            if is_first:
+                least = Millis(len(known) * 1_000 // _FIRST_PER_S)
+                interval = max(_FIRST_INTERVAL, least)
             if self.is_delegate:
                 interval = min(interval, DELEGATE_INTERVAL)
             last = turn + len(known) * _ROUND / interval
@@ -89,7 +95,7 @@
                 turn = last
             elif known:
                 turn = 0
-                interval = self.neighbours.interval
+                is_first = False
 
     def close(self) -> None:
         """Close the sockets."""
