Wait for a successor unless other daemons serve the leader's statements

Cause: daemons that could not tell whether a leader is there did not answer, and whoever asked them took their silence for a partition, so that it refused statements for the leader at once, while a successor was about to be ordered. Callers used up their tries within a few ms. Change: who can't tell says so. A daemon refuses at once only if somebody reaches the leader, or if most of those asked did not answer, so that it is on the small side of a partition and other daemons serve its callers.

--- a/monsoonproxy/juries.py
+++ b/monsoonproxy/juries.py
@@ -27,6 +27,12 @@
 #: probe.
 _RECENT = 30
 
+_OPINIONS = {
+    Evidence.REACHED: True,
+    Evidence.MISSING: False,
+    Evidence.UNKNOWN: None,
+}
+
 Find = Callable[[str], Runner | None]
 
 
@@ -84,6 +90,7 @@
             asked=tally.asked,
             missing=len(tally.missing),
             reaching=len(tally.reaching),
+            undecided=len(tally.undecided),
         ).info('Others asked about a leader')
         return tally
 
@@ -111,12 +118,10 @@
         if member is None:
             return
         evidence = await self._evidence(runner, member)
-        if evidence is Evidence.UNKNOWN:
-            return
-        reachable = evidence is Evidence.REACHED
+        reachable = _OPINIONS[evidence]
         opinion = notices.Opinion(self._gossip.name, question.number, reachable)
         self._gossip.send(opinion, address)
-        if not reachable:
+        if evidence is Evidence.MISSING:
             self.on_missing(runner, member)
 
     async def _evidence(self, runner: Runner, member: Member) -> Evidence:
--- a/monsoonproxy/notices.py
+++ b/monsoonproxy/notices.py
@@ -58,11 +58,12 @@
     """Answers a question.
 
     :param number: Number of the question.
-    :param reachable: Whether the sender reaches that backend server.
+    :param reachable: Whether the sender reaches that backend server; ``None``
+        if it can't tell.
     """
 
     number: int
-    reachable: bool
+    reachable: bool | None
 
 
 class Succession(_Notice, frozen=True):
--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -155,7 +155,7 @@
         # Statements go through the daemons that reach it meanwhile.
         neighbours = self._gossip.neighbours
         member.borrowed.restrict(neighbours.relays_of(finding.reaching))
-        member.is_cut_off = finding.verdict is Verdict.KEEP
+        member.is_cut_off = finding.is_cut_off
         return False
 
     def _still_leads(self, cluster: Cluster, member: Member) -> bool:
@@ -171,7 +171,9 @@
         )
         if own is Evidence.REACHED:
             return None
-        finding = Finding(tally.verdict(own=own), frozenset(tally.reaching))
+        finding = Finding(
+            tally.verdict(own=own), frozenset(tally.reaching), tally.is_apart
+        )
         _log.bind(own=own.value).info(
             '{} is missing; verdict: {}', name, finding.verdict.value
         )
--- a/monsoonproxy/verdicts.py
+++ b/monsoonproxy/verdicts.py
@@ -38,35 +38,50 @@
 class Tally:
     """The opinions of the daemons that were asked.
 
-    :param asked: How many were asked. Those that don't know do not answer.
+    :param asked: How many were asked.
     :param missing: Names of those that don't reach the leader.
     :param reaching: Names of those that do.
+    :param undecided: Names of those that can't tell.
     """
 
     asked: int
     missing: set[str] = attrs.Factory(set)
     reaching: set[str] = attrs.Factory(set)
+    undecided: set[str] = attrs.Factory(set)
 
-    def add(self, name: str, *, reachable: bool) -> None:
+    def add(self, name: str, *, reachable: bool | None) -> None:
         """Take in an opinion.
 
         :param name: Whose it is.
-        :param reachable: Whether it reaches the leader.
+        :param reachable: Whether it reaches the leader; ``None`` if it can't
+            tell.
         """
-        (self.reaching if reachable else self.missing).add(name)
+        if reachable is None:
+            self.undecided.add(name)
+        else:
+            (self.reaching if reachable else self.missing).add(name)
+
+    @property
+    def heard(self) -> int:
+        """Return how many daemons answered."""
+        return len(self.missing) + len(self.reaching) + len(self.undecided)
+
+    @property
+    def is_apart(self) -> bool:
+        """Tell whether most others seem to be behind a partition."""
+        return self.asked - self.heard > self.heard
 
     @property
     def is_settled(self) -> bool:
         """Tell whether further opinions can't change the verdict."""
-        complete = len(self.missing) + len(self.reaching) >= self.asked
-        return complete or self.verdict() is Verdict.REPLACE
+        return self.heard >= self.asked or self.verdict() is Verdict.REPLACE
 
     def verdict(self, *, own: Evidence = Evidence.MISSING) -> Verdict:
         """Decide what to do.
 
         Daemons that don't answer may be together with the leader on the other
-        side of a partition. If they are more than those that miss it, the
-        leader stays, since it serves more callers there.
+        side of a partition. If they and the undecided ones are more than those
+        that miss it, the leader stays, since it may serve more callers there.
 
         :param own: What this daemon knows itself.
         :returns: The verdict.
@@ -86,10 +101,22 @@
 
     :param verdict: What to do.
     :param reaching: Names of those that reach it.
+    :param is_apart: Whether most others did not answer.
     """
 
     verdict: Verdict
     reaching: frozenset[str] = frozenset()
+    is_apart: bool = False
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Tell whether other daemons serve what this one can't.
+
+        If nobody who answered reaches the leader and most answered, it is
+        probably gone, and waiting for its successor is worth while.
+        """
+        served_elsewhere = bool(self.reaching) or self.is_apart
+        return self.verdict is Verdict.KEEP and served_elsewhere
 
 
 def decided_alone(finding: Finding) -> Finding:
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -3,6 +3,7 @@
 from monsoonproxy.models import Position
 from monsoonproxy.verdicts import (
     Evidence,
+    Finding,
     Survey,
     Tally,
     Verdict,
@@ -67,6 +68,27 @@
     assert _tally(16, 10, 0).verdict(own=unknown) is Verdict.REPLACE
 
 
+def test_waits_for_a_successor() -> None:
+    """Guards against refusals while a dead leader is about to be replaced.
+
+    Pattern: a leader crashes; most daemons borrow connections to it, and can't
+    tell yet whether it or their lenders are gone.
+    """
+    undecided = _tally(13, 1, 0)
+    for number in range(12):
+        undecided.add(f'undecided-{number}', reachable=None)
+    assert undecided.verdict() is Verdict.KEEP
+    assert not _finding(undecided).is_cut_off
+    # Who is apart from most others, or alone without the leader, says so.
+    assert _finding(_tally(13, 2, 0)).is_cut_off
+    assert _finding(_tally(13, 0, 13)).is_cut_off
+
+
+def _finding(tally: Tally) -> Finding:
+    reaching = frozenset(tally.reaching)
+    return Finding(tally.verdict(), reaching, tally.is_apart)
+
+
 def test_nobody_to_ask() -> None:
     """Guards against a single daemon that never replaces a primary."""
     assert _tally(0, 0, 0).verdict() is Verdict.ALONE
