--- a/monsoonproxy/handover.py
+++ b/monsoonproxy/handover.py
@@ -129,6 +129,6 @@
                 )
             lease.clean = True
     except NO_CONNECTION as exc:
-        _log.info('{} not asked: {}', member.server.server_id, exc)
+        _log.debug('{} not asked: {}', member.server.server_id, exc)
         return False
     return answer.succeeded
