Decide on a missing leader as soon as the others have answered

Cause: a borrower that can't tell whether the leader is there looked for as long as one that can, 0.45 s, although the opinions of the lenders were there after 0.1 to 0.3 s and waiting could not add to what it knows. Change: who can't tell stops looking after its first probe. Checks: the tests of failover and lending.

--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -180,14 +180,19 @@
         return finding
 
     async def _evidence(self, runner: Runner, member: Member) -> Evidence:
-        """Look for a sign of life of a backend server for some time."""
+        """Look for a sign of life of a backend server for some time.
+
+        Who can't tell doesn't look for long; the others' opinions decide.
+        """
         began = self._clock.now()
         refusals = 0
-        found = Evidence.UNKNOWN
+        found = Evidence.MISSING
         while self._clock.now() - began < DETECTION and refusals < _REFUSALS:
             found = await runner.leaders.evidence(member, PROBE_LIMIT)
             if found is Evidence.REACHED or member.answered_at > began:
                 return Evidence.REACHED
+            if found is Evidence.UNKNOWN:
+                break
             refusals += int(member.lane.refused_at >= began)
             await asyncio.sleep(seconds(_PROBE_PAUSE))
         return found
