--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -155,7 +155,7 @@
         # Statements go through the daemons that reach it meanwhile.
         neighbours = self._gossip.neighbours
         member.borrowed.restrict(neighbours.relays_of(finding.reaching))
-        member.is_cut_off = finding.verdict is Verdict.KEEP
+        member.is_cut_off = finding.is_cut_off
         return False
 
     def _still_leads(self, cluster: Cluster, member: Member) -> bool:
@@ -171,21 +171,28 @@
         )
         if own is Evidence.REACHED:
             return None
-        finding = Finding(tally.verdict(own=own), frozenset(tally.reaching))
+        finding = Finding(
+            tally.verdict(own=own), frozenset(tally.reaching), tally.is_apart
+        )
         _log.bind(own=own.value).info(
             '{} is missing; verdict: {}', name, finding.verdict.value
         )
         return finding
 
     async def _evidence(self, runner: Runner, member: Member) -> Evidence:
-        """Look for a sign of life of a backend server for some time."""
+        """Look for a sign of life of a backend server for some time.
+
+        Who can't tell doesn't look for long; the others' opinions decide.
+        """
         began = self._clock.now()
         refusals = 0
-        found = Evidence.UNKNOWN
+        found = Evidence.MISSING
         while self._clock.now() - began < DETECTION and refusals < _REFUSALS:
             found = await runner.leaders.evidence(member, PROBE_LIMIT)
             if found is Evidence.REACHED or member.answered_at > began:
                 return Evidence.REACHED
+            if found is Evidence.UNKNOWN:
+                break
             refusals += int(member.lane.refused_at >= began)
             await asyncio.sleep(seconds(_PROBE_PAUSE))
         return found
