Count the lives of a daemon from the start of its process

Its scenario starts no daemon again, yet the versions had "daemon-1 start 0: 1" beside "daemon-1 start 1: 6": the evidence counted lives by the line "Accepting callers", and daemon-1 had its configuration in force before that line. The product did what was asked; with restarts the same error would hide or invent a version that goes back. Ruled out: a daemon that stayed at version 1 (its life 1 ended at 6). Change: the emulator writes a line into the log when it starts a process, and lives are counted by it. The checks are unchanged.

--- a/emulator/cluster.py
+++ b/emulator/cluster.py
@@ -51,6 +51,10 @@
     service_lines: str = ''
 
 
+#: Marks the start of a process in its log.
+START_LINE = '== process started =='
+
+
 @attrs.define
 class Process:
     """A running process.
@@ -72,8 +76,10 @@
     process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
-        """Start the process."""
+        """Start the process, with a line in its log that tells so."""
         with self.log.open('ab') as output:
+            output.write(f'{START_LINE}\n'.encode())
+            output.flush()
             self.process = await asyncio.create_subprocess_exec(
                 *self.arguments,
                 stdout=output,
--- a/emulator/experiment.py
+++ b/emulator/experiment.py
@@ -22,7 +22,7 @@
 
 from emulator import audit_checks, checks
 from emulator.callers import LOST, Link, RequestError, connect, now
-from emulator.cluster import Cluster, Process, Site, running
+from emulator.cluster import START_LINE, Cluster, Process, Site, running
 from emulator.faults import faults
 from emulator.history import (
     History,
@@ -49,7 +49,6 @@
 _LEAVING_KNOWN = 3_000
 _SHOWN = 10
 _IN_FORCE = re.compile(r'Configuration version (\d+) is in force')
-_STARTED = 'Accepting callers'
 
 
 @attrs.frozen
@@ -237,7 +236,7 @@
     for daemon in cluster.daemons:
         start = 0
         for line in daemon.log.read_text().splitlines():
-            start += _STARTED in line
+            start += line == START_LINE
             match = _IN_FORCE.search(line)
             if match:
                 name = f'{daemon.name} start {start}'
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -1,8 +1,12 @@
 """Tests of the history checks, on planted histories."""
 
+import pathlib
+import tempfile
 from typing import Any
+from unittest import mock
 
-from emulator import audit_checks, checks
+from emulator import audit_checks, checks, experiment
+from emulator.cluster import Process
 from emulator.history import (
     History,
     Kind,
@@ -234,6 +238,31 @@
     assert split == {'transactions_in_one_place'}
 
 
+def test_lives_begin_with_the_process() -> None:
+    """Guards against a life of a daemon that is counted as two.
+
+    A daemon may have its configuration before it accepts callers.
+    """
+    with tempfile.TemporaryDirectory() as directory:
+        log = pathlib.Path(directory, 'd1.log')
+        log.write_text(
+            '== process started ==\n'
+            'Configuration version 1 is in force\n'
+            'Accepting callers\n'
+            'Configuration version 2 is in force\n'
+            '== process started ==\n'
+            'Configuration version 2 is in force\n'
+        )
+        process = Process('d1', '127.0.0.1:1', (), log)
+        site = mock.Mock(daemons=[process])
+        seen = experiment.versions(site)
+    assert seen == [
+        VersionSeen('d1 start 1', 1),
+        VersionSeen('d1 start 1', 2),
+        VersionSeen('d1 start 2', 2),
+    ]
+
+
 def test_version_went_back() -> None:
     """Guards against a daemon that returns to an older configuration."""
     seen = [
