--- a/monsoonproxy/remotes.py
+++ b/monsoonproxy/remotes.py
@@ -36,9 +36,9 @@
 _PING_AFTER = Millis(75)
 _PASS_OVER_AFTER = Millis(150)
 _GONE_AFTER = Millis(500)
-#: Time in ms beyond the wait for a connection after which a daemon that did
-#: not answer is taken for gone.
-_LENDER_SILENCE = Millis(600)
+#: Time in ms beyond the wait for a connection in which a daemon with a queue
+#: has to answer whether it lends one.
+_ANSWER_MARGIN = Millis(600)
 #: Lenders that are asked for one connection, one after another.
 _LENDERS_ASKED = 3
 #: Share of the time left for one lender while there are others.
@@ -91,7 +91,7 @@
             claim.priority,
             claim.single,
         )
-        limit = max(1, int(claim.limit)) + _LENDER_SILENCE
+        limit = max(1, int(claim.limit)) + _ANSWER_MARGIN
         try:
             response = await self._first_response(self.send(ask), limit)
         except TimeoutError:
