Send no attempt of a read that is over

Cause: a read that waits for a connection is sent to a second backend server, and the first attempt went on waiting. When it got its connection, the read ran again with the values that the session had had, after the caller had its answer and could have set others. Ruled out: state left on the connection (the values were those of the request). Not ruled out: that the attempt had been sent and was held back by the lender. Change: an attempt that gets its connection after the read has ended gives it back.

--- a/monsoonproxy/reading.py
+++ b/monsoonproxy/reading.py
@@ -62,7 +62,9 @@
             await self._attempt_again()
             answer = await self._first_answer()
             if answer is not None:
+                self._job.given_up = True
                 return answer
+        self._job.given_up = True
         code = Code.LAGGING if self._lagging else Code.BUSY
         return self._runner.failure(code, f'not read: {self._job.tried}')
 
@@ -164,6 +166,10 @@
         cluster, job = self._cluster, self._job
         try:
             async with cluster.leased(member, self._claim()) as lease:
+                if job.given_up:
+                    # The caller may have set other values since its answer.
+                    lease.clean = True
+                    return None
                 await self._runner.adopt(lease, job)
                 payload = cluster.dialect.query(job.request_id, job.text, floor)
                 answers = await cluster.exchange(
@@ -183,6 +189,9 @@
         name = member.server.server_id
         try:
             async with cluster.leased(member, self._claim()) as lease:
+                if job.given_up:
+                    lease.clean = True
+                    return None
                 await self._runner.adopt(lease, job)
                 begun = await cluster.begin(lease, self._left)
                 if begun.succeeded:
