Spare the store when daemons start, and use the seeds

A daemon that started for the first time while the store was down found nobody.

Now only the delegates of the listed daemons follow at once; the others announce themselves to the delegates, have both documents from them, and follow the store themselves if they have no news after 0.2 s or hear too few delegates after 2.5 s. At the first start of all, the row is written before the list is read, so that one reading is enough. Seeds are asked for the daemons that they hear while the store is silent.

Ruled out: leaving the list out at the first start; the rows are needed when all start again while no daemon runs.

Tests: twelve daemons with three delegates start again: 3, 3 and 12 reads of configuration, entries and list; before, 12, 12 and 12. First start: 8 reads of the list for 8 daemons, before 16.

--- /dev/null
+++ b/monsoonproxy/delegation.py
@@ -0,0 +1,114 @@
+"""Follows the platform's store, or leaves that to other daemons."""
+
+from collections.abc import Iterable
+
+from monsoonproxy import delegates
+from monsoonproxy.catalog import Catalog
+from monsoonproxy.clock import Clock, Millis
+from monsoonproxy.following import Follower
+from monsoonproxy.logs import log_for
+from monsoonproxy.models import Host
+from monsoonproxy.neighbours import Neighbour
+from monsoonproxy.stores import Changes, Store, Table
+from monsoonproxy.supervisors import Supervisor
+
+_log = log_for('delegation')
+
+#: Time in ms after its start in which a daemon that is no delegate waits for
+#: the configuration and the entries from others. They have both within 30 ms.
+_NEWS_BY = Millis(200)
+#: Time in ms after its start in which it has to hear delegates, once it has
+#: both: their presences come every 2 s.
+_HEARD_BY = Millis(2_500)
+
+
+class Delegation:
+    """The followers of one daemon.
+
+    :param own: Address of the daemon's relay.
+    :param store: The platform's store.
+    :param catalog: Takes what is followed.
+    :param supervisor: Runs the followers.
+    :param clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        store: Store,
+        catalog: Catalog,
+        supervisor: Supervisor,
+        clock: Clock,
+    ) -> None:
+        self._own = own
+        self._catalog = catalog
+        self._supervisor = supervisor
+        self._clock = clock
+        self._started_at = clock.now()
+        self._chosen: frozenset[str] = frozenset()
+        self._followers = {
+            'routes': Follower(
+                store, Table.CONFIGURATION, catalog.take_operator, clock
+            ),
+            'servers': Follower(
+                store, Table.SERVERS, self._take_servers, clock
+            ),
+        }
+
+    @property
+    def is_delegate(self) -> bool:
+        """Tell whether this daemon follows the store for others."""
+        return self._own in self._chosen
+
+    @property
+    def delegates(self) -> frozenset[str]:
+        """Return the addresses of the delegates' relays."""
+        return self._chosen
+
+    @property
+    def connected(self) -> bool:
+        """Tell whether this daemon is in touch with the store."""
+        return all(each.connected for each in self._followers.values())
+
+    def choose(self, hosts: Iterable[Host]) -> None:
+        """Choose the delegates.
+
+        :param hosts: All daemons that are there.
+        """
+        self._chosen = delegates.chosen(hosts)
+
+    async def adapt(self, alive: Iterable[Neighbour]) -> None:
+        """Begin or end to follow the store.
+
+        :param alive: The other daemons.
+        """
+        now = self._clock.now()
+        must = delegates.must_follow(self._own, self._chosen, alive, now)
+        if must and not self.is_delegate and self._is_patient(now):
+            return
+        for name, follower in self._followers.items():
+            if must:
+                self._start(name, follower)
+            else:
+                await self._leave(name, follower)
+
+    def _start(self, name: str, follower: Follower) -> None:
+        if name not in self._supervisor.children():
+            _log.info('Following {}', name)
+            self._supervisor.start_child(name, follower.run)
+
+    async def _leave(self, name: str, follower: Follower) -> None:
+        # One that was not in touch yet has nothing to leave to others.
+        if follower.connected:
+            _log.info('Leaving {} to other daemons', name)
+            await self._supervisor.stop_child(name)
+            follower.connected = False
+
+    def _is_patient(self, now: Millis) -> bool:
+        """Tell whether others may still make following needless."""
+        limit = _HEARD_BY if all(self._catalog.versions()) else _NEWS_BY
+        return now - self._started_at < limit
+
+    def _take_servers(self, changes: Changes, whole: bool) -> None:
+        failed_at = self._followers['servers'].failed_at
+        self._catalog.take_servers(changes, whole=whole, failed_at=failed_at)
--- a/monsoonproxy/neighbours.py
+++ b/monsoonproxy/neighbours.py
@@ -175,6 +175,32 @@
         """
         return self.pick(self.alive(now), most)
 
+    def behind(
+        self, version: int, stamp: int, most: int, now: Millis
+    ) -> tuple[Neighbour, ...]:
+        """Choose receivers that lack what this daemon has.
+
+        :param version: Version of this daemon's configuration.
+        :param stamp: Version of its entries of backend servers.
+        :param most: How many.
+        :param now: The time.
+        :returns: The daemons.
+        """
+        lacking = tuple(
+            known
+            for known in self.alive(now)
+            if known.version < version or known.stamp < stamp
+        )
+        return self.pick(lacking, most)
+
+    def at(self, relays: frozenset[str]) -> tuple[Neighbour, ...]:
+        """Return the daemons at some addresses.
+
+        :param relays: Where they lend connections.
+        :returns: The daemons.
+        """
+        return tuple(known for known in self.all() if known.relay in relays)
+
     def pick(
         self, known: tuple[Neighbour, ...], most: int
     ) -> tuple[Neighbour, ...]:
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -3,17 +3,14 @@
 import asyncio
 import random
 import signal
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
 
-from monsoonproxy import delegates, notices
 from monsoonproxy.catalog import Catalog
 from monsoonproxy.clients import Clients
 from monsoonproxy.clock import Clock, Millis, seconds
+from monsoonproxy.delegation import Delegation
 from monsoonproxy.dialects import Dialect
-from monsoonproxy.exceptions import PlatformError
-from monsoonproxy.following import Follower
 from monsoonproxy.gossip import FANOUT, Gossip
+from monsoonproxy.joining import Joiner
 from monsoonproxy.juries import Jury
 from monsoonproxy.logs import log_for
 from monsoonproxy.members import Surroundings
@@ -26,7 +23,7 @@
 from monsoonproxy.relays import Relay, wait_idle
 from monsoonproxy.remotes import Links
 from monsoonproxy.servers import Server
-from monsoonproxy.stores import Changes, Documents, Store, Table
+from monsoonproxy.stores import Documents, Store
 from monsoonproxy.supervisors import Restart, RestartRule, Supervisor
 from monsoonproxy.telemetry import Telemetry
 
@@ -40,22 +37,18 @@
 _TRANSACTIONS_SHARE = 0.5
 _END_SHARE = 0.9
 _DRAIN_PAUSE = 50
-#: First and longest pause in ms before another try to read the list of
-#: daemons or to write to it. It doubles, so that many daemons that start at
-#: the same time don't keep a slow store busy.
-_LIST_PAUSE = 100
-_LONGEST_LIST_PAUSE = 3_200
 #: Time in ms after the start within which no connections are opened ahead
 #: while the list of daemons is not complete. When all daemons start for the
 #: first time, the store takes 0.5 s for their rows.
 _PLAN_BY = Millis(1_000)
 #: Time in ms between two lines with what was counted.
 _REPORT = Millis(5_000)
+#: Daemons behind it that a delegate tells of news at once; they tell others.
+#: All at once would hold up the event loop on sites of thousands.
+_BEHIND_TOLD = 64
 #: A task that has nothing left to do may return.
 _ONCE = RestartRule(restart=Restart.TRANSIENT)
 
-_Result = TypeVar('_Result')
-
 
 class Node:
     """Wires the parts of a daemon.
@@ -83,13 +76,10 @@
         self._supervisor = Supervisor('node', clock)
         self._neighbours = Neighbours(settings.name, rng)
         self._started_at = clock.now()
-        #: Whether the list of daemons was read, with this one in it.
-        self._has_list = False
         self._placement = Placement()
         self._hosts: frozenset[Host] = frozenset()
         #: Who lends connections to a server, until the hosts change.
         self._lending: dict[tuple[str, int], tuple[Host, ...]] = {}
-        self._delegates: frozenset[str] = frozenset()
         self._links = Links(clock)
         self._links.on_gone = self._lender_gone
         self.catalog = Catalog(
@@ -109,7 +99,16 @@
         self._gossip = Gossip(
             self._own(), self._neighbours, self.catalog, clock
         )
-        self._gossip.follows = self._is_following
+        self._joiner = Joiner(settings, store, self._gossip, clock)
+        self._joiner.on_list = self._take_list
+        self._delegation = Delegation(
+            settings.relay_address,
+            store,
+            self.catalog,
+            self._supervisor,
+            clock,
+        )
+        self._gossip.follows = lambda: self._delegation.connected
         jury = Jury(self._gossip, find, clock, rng)
         self._promoter = Promoter(store, self._gossip, jury, find, clock)
         self.catalog.on_doubt = self._promoter.doubt
@@ -121,12 +120,6 @@
             Observer(self._telemetry),
             settings.max_callers,
         )
-        self._routes_follower = Follower(
-            store, Table.CONFIGURATION, self.catalog.take_operator, clock
-        )
-        self._servers_follower = Follower(
-            store, Table.SERVERS, self._take_servers, clock
-        )
 
     @property
     def ready(self) -> bool:
@@ -168,10 +161,9 @@
         await self._relay.start(self._settings.relay_address)
         await self._gossip.start()
         children = self._supervisor
-        children.start_child('join', self._join, _ONCE)
+        children.start_child('join', self._joiner.run, _ONCE)
+        children.start_child('seeds', self._joiner.ask_seeds, _ONCE)
         children.start_child('gossip', self._gossip.run)
-        children.start_child('routes', self._routes_follower.run)
-        children.start_child('servers', self._servers_follower.run)
         children.start_child('sweep', self._sweep)
         children.start_child('report', self._report)
         _log.info('{} started', self._settings.name)
@@ -224,68 +216,32 @@
             self._lending[key] = found
         return found
 
-    async def _join(self) -> None:
-        """Learn where the others are, and tell them where this daemon is."""
-        settings = self._settings
-        own = notices.encode(
-            notices.Listing(
-                settings.peer_address,
-                settings.relay_address,
-                settings.availability_zone,
-            )
-        )
-        rows = await self._read_list()
-        is_new = rows.get(settings.name) != own
-        # Those that have something newer answer, so that this daemon can serve
-        # before the store has told it anything. The others hear of it soon;
-        # they know where it is unless it is new.
-        known = self._neighbours.all()
-        self._gossip.announce(
-            known if is_new else self._neighbours.pick(known, FANOUT)
-        )
-        if is_new:
-            await _until_done(
-                lambda: self._store.put(Table.DAEMONS, settings.name, own)
-            )
-            # Of two daemons that start at the same time, one at least finds
-            # the other's row.
-            await self._read_list()
-            self._gossip.announce(self._neighbours.all())
-        self._has_list = True
+    async def _take_list(self) -> None:
+        """Plan with the daemons that the store lists."""
         self._replan()
-
-    async def _read_list(self) -> dict[str, bytes]:
-        """Read the list of daemons; return its rows."""
-        listed = await _until_done(lambda: self._store.read(Table.DAEMONS))
-        now = self._clock.now()
-        rows = {row.key: row.content for row in listed.rows if row.content}
-        for name, content in rows.items():
-            listing = notices.decode_listing(content)
-            if listing is None:
-                _log.warning('Row of {} ignored: it can not be read', name)
-            else:
-                self._neighbours.add(name, listing, now)
-        return rows
+        receivers = self._neighbours.at(self._delegation.delegates)
+        if not self._delegation.is_delegate:
+            # They answer if they have something newer.
+            self._gossip.announce(receivers)
+        await self._delegate()
 
     def _tell_news(self) -> None:
         now = self._clock.now()
-        self._gossip.announce(self._neighbours.some(FANOUT, now))
+        if self._delegation.is_delegate:
+            versions = self.catalog.versions()
+            told = self._neighbours.behind(*versions, _BEHIND_TOLD, now)
+        else:
+            told = self._neighbours.some(FANOUT, now)
+        self._gossip.announce(told)
         self._replan()
 
     def _lender_gone(self, relay: str) -> None:
         self._neighbours.suspect(relay)
         self._replan()
 
-    def _take_servers(self, changes: Changes, whole: bool) -> None:
-        self.catalog.take_servers(
-            changes, whole=whole, failed_at=self._servers_follower.failed_at
-        )
-
     def _replan(self) -> None:
         """Adapt to the daemons that are there."""
         now = self._clock.now()
-        if not self._has_list and now - self._started_at < _PLAN_BY:
-            return
         own = Host(
             self._settings.relay_address, self._settings.availability_zone
         )
@@ -294,36 +250,14 @@
             self._hosts = hosts
             self._placement.update(hosts)
             self._lending.clear()
-            self._delegates = delegates.chosen(hosts)
-            self._gossip.is_delegate = own.address in self._delegates
-        self.catalog.replan(len(hosts))
-
-    def _is_following(self) -> bool:
-        return (
-            self._routes_follower.connected and self._servers_follower.connected
-        )
+            self._delegation.choose(hosts)
+            self._gossip.is_delegate = self._delegation.is_delegate
+        if self._joiner.has_list or now - self._started_at >= _PLAN_BY:
+            self.catalog.replan(len(hosts))
 
     async def _delegate(self) -> None:
-        """Follow the store, or leave that to other daemons."""
-        followers = {
-            'routes': self._routes_follower,
-            'servers': self._servers_follower,
-        }
-        must = delegates.must_follow(
-            self._settings.relay_address,
-            self._delegates,
-            self._neighbours.alive(self._clock.now()),
-            self._clock.now(),
-        )
-        running = self._supervisor.children()
-        for name, follower in followers.items():
-            if must and name not in running:
-                _log.info('Following {} again', name)
-                self._supervisor.start_child(name, follower.run)
-            elif name in running and not must and follower.connected:
-                _log.info('Leaving {} to other daemons', name)
-                await self._supervisor.stop_child(name)
-                follower.connected = False
+        alive = self._neighbours.alive(self._clock.now())
+        await self._delegation.adapt(alive)
 
     async def _drain(self) -> None:
         """Finish what was begun, within the time until SIGKILL."""
@@ -366,21 +300,5 @@
                 _log.bind(**news).info('Counted')
 
 
-async def _until_done(call: Callable[[], Awaitable[_Result]]) -> _Result:
-    """Call the store until it answers.
-
-    :param call: Makes the call; it may be repeated.
-    :returns: The answer.
-    """
-    pause = _LIST_PAUSE
-    while True:
-        try:
-            return await call()
-        except PlatformError as exc:
-            _log.info('List of daemons not read or written yet: {}', exc)
-        await asyncio.sleep(seconds(pause) * random.uniform(0.5, 1))
-        pause = min(_LONGEST_LIST_PAUSE, pause * 2)
-
-
 def _reload() -> None:
     _log.info('Settings file changed; nothing in it applies at run time')
--- a/monsoonproxy/node_settings.py
+++ b/monsoonproxy/node_settings.py
@@ -16,6 +16,8 @@
     :param relay_address: Where it lends connections to other daemons.
     :param grace: Time in ms between SIGTERM and SIGKILL.
     :param max_callers: Greatest number of callers' connections.
+    :param first_start: Whether all daemons start for the first time now.
+    :param seeds: Where some other daemons take notices; they may be gone.
     """
 
     name: str
@@ -25,3 +27,5 @@
     relay_address: str
     grace: Millis
     max_callers: int
+    first_start: bool = False
+    seeds: tuple[str, ...] = ()
--- a/monsoonproxy/notices.py
+++ b/monsoonproxy/notices.py
@@ -79,9 +79,6 @@
     token: int
 
 
-Notice: TypeAlias = Presence | Question | Opinion | Succession
-
-
 class Listing(msgspec.Struct, frozen=True, array_like=True):
     """Where a daemon is, as the store lists it.
 
@@ -95,6 +92,23 @@
     zone: str
 
 
+class RosterRequest(_Notice, frozen=True):
+    """Asks for the daemons that the receiver hears."""
+
+
+class Roster(_Notice, frozen=True):
+    """Some daemons that the sender hears.
+
+    :param listings: Where they are, by name.
+    """
+
+    listings: dict[str, Listing]
+
+
+Notice: TypeAlias = (
+    Presence | Question | Opinion | Succession | RosterRequest | Roster
+)
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Notice)
 _listing_decoder = msgspec.msgpack.Decoder(Listing)
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -2,9 +2,12 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from unittest import mock
 
+import attrs
 from stand_ins.site import CURRENT, SiteStandIn
 
+from monsoonproxy import delegates
 from tests.fixtures import fixture, load_functions
 from tests.platform_sites import until
 
@@ -74,3 +77,79 @@
     await until(lambda: again.ready)
     caller = await platform_site.caller(CURRENT, 3)
     assert not (await caller.run('READ a')).code
+
+
+async def test_first_start_while_store_is_silent(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against a new daemon that finds nobody until the store answers.
+
+    Pattern: hosts are added while the store is down; their settings name three
+    other daemons, two of which are gone.
+    """
+    platform_site.platform.faults.silent = True
+    known = platform_site.nodes[0]._settings.peer_address
+    running = platform_site.settings('front-3')
+    settings = attrs.evolve(
+        running, seeds=('127.0.0.1:9', running.peer_address, known)
+    )
+    node = await platform_site.add_node(settings)
+    await until(lambda: node.gauges()['daemons_alive'] == 3)
+    caller = await platform_site.caller(CURRENT, 3)
+    assert not (await caller.run('READ a')).code
+
+
+@fixture
+async def delegating_site() -> AsyncIterator[SiteStandIn]:
+    """Yield a site where three of twelve daemons follow the store."""
+    with (
+        mock.patch.object(delegates, '_SMALL_SITE', 4),
+        mock.patch.object(delegates, '_DELEGATES', 3),
+    ):
+        site = SiteStandIn(daemons=12)
+        await site.start()
+        for node in site.nodes:
+            await until(lambda each=node: each.gauges()['daemons_alive'] == 11)
+        yield site
+        await site.stop()
+
+
+async def test_restart_of_all_spares_the_store(
+    delegating_site: SiteStandIn,
+) -> None:
+    """Guards against daemons that all read everything when all start again.
+
+    Pattern: all hosts lose power; the store takes 2,000 reads a second from
+    all daemons, and each call costs. Only the delegates read the configuration
+    and the entries; the others have both at once from them.
+    """
+    site = delegating_site
+    settings = [node._settings for node in site.nodes]
+    await asyncio.gather(*(node.abort() for node in site.nodes))
+    site.nodes.clear()
+    site.platform.calls.clear()
+    await asyncio.gather(*(site.add_node(each) for each in settings))
+    await until(lambda: all(node.ready for node in site.nodes), 1)
+    await asyncio.sleep(1)
+    calls = site.platform.calls
+    assert calls['/rows-get', 'op'] == 3, calls
+    assert calls['/rows-get', 'servers'] == 3, calls
+    assert calls['/rows-get', 'daemons'] == 12, calls
+
+
+async def test_first_start_of_all_spares_the_store() -> None:
+    """Guards against a second reading of the list by every daemon.
+
+    Pattern: hundreds of daemons start for the first time, within 0.3 s.
+    """
+    site = SiteStandIn(daemons=0)
+    await site.start()
+    settings = [
+        attrs.evolve(site.settings(f'front-{number}'), first_start=True)
+        for number in range(8)
+    ]
+    await asyncio.gather(*(site.add_node(each) for each in settings))
+    for node in site.nodes:
+        await until(lambda each=node: each.gauges()['daemons_alive'] == 7)
+    assert site.platform.calls['/rows-get', 'daemons'] == 8
+    await site.stop()
