Take back attempts that outlive their statement's answer

A statement that one daemon gave another had no end that the lender checked.

Now each statement on a lent connection names a time by the lender's clock after which it is refused, and Cancel takes it back. Before a session sets a value, its late attempts end: own connections are closed, lenders confirm, and a lender that was lost is waited for until its statements have expired.

Ruled out: ending each late attempt with its statement's answer. Under overload this closes connections that databases need 12 to 27 ms to open.

--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -435,7 +435,7 @@
         with self._watched(lease.member):
             try:
                 async with asyncio.timeout(seconds(max(1, int(limit)))):
-                    return await lease.wire.exchange(payload, count)
+                    return await lease.wire.exchange(payload, count, limit)
             except TimeoutError:
                 lease.wire.abort()
                 self.doubt(lease.member)
--- a/monsoonproxy/conversations.py
+++ b/monsoonproxy/conversations.py
@@ -151,6 +151,8 @@
 
     async def set_value(self, query: Query) -> Answer:
         """Set a value of the session."""
+        # A late attempt would run with the values of before.
+        await self.session.end_late(self._clock)
         self.session.values[query.name] = query.argument
         return self._dialect.done(self.state)
 
--- a/monsoonproxy/exceptions.py
+++ b/monsoonproxy/exceptions.py
@@ -88,11 +88,19 @@
 
     :param sent: Whether the statement may have reached the backend server.
     :param refused: Whether the backend server's host refused the connection.
+    :param runs_until: Until when in ms, by this daemon's clock, another daemon
+        may still pass the statement on.
     """
 
     def __init__(
-        self, message: str, *, sent: bool = False, refused: bool = False
+        self,
+        message: str,
+        *,
+        sent: bool = False,
+        refused: bool = False,
+        runs_until: int = 0,
     ) -> None:
         super().__init__(message)
         self.sent = sent
         self.refused = refused
+        self.runs_until = runs_until
--- a/monsoonproxy/forwards.py
+++ b/monsoonproxy/forwards.py
@@ -47,10 +47,12 @@
 
     :param values: Session values that are set on it.
     :param prepared: Names of the statements prepared on it.
+    :param now: Time in ms by the lender's clock.
     """
 
     values: dict[bytes, bytes]
     prepared: list[bytes]
+    now: int
 
 
 class Denied(_Forward, frozen=True):
@@ -69,10 +71,20 @@
 
     :param payload: The encoded statements.
     :param count: How many there are.
+    :param until: Time in ms by the lender's clock after which they must not be
+        passed on any more.
     """
 
     payload: bytes
     count: int
+    until: int
+
+
+class Cancel(_Forward, frozen=True):
+    """Takes back what was sent last.
+
+    It is answered with :class:`Broken` unless the answers are on their way.
+    """
 
 
 class Answers(_Forward, frozen=True):
@@ -114,12 +126,21 @@
     """Answers a ping at once, whatever else is to be answered."""
 
 
-Request: TypeAlias = Ask | Send | Return | Ping
+Request: TypeAlias = Ask | Send | Cancel | Return | Ping
 Response: TypeAlias = Granted | Denied | Answers | Broken | Pong
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(
-    Ask | Granted | Denied | Send | Answers | Broken | Return | Ping | Pong
+    Ask
+    | Granted
+    | Denied
+    | Send
+    | Cancel
+    | Answers
+    | Broken
+    | Return
+    | Ping
+    | Pong
 )
 
 
--- a/monsoonproxy/jobs.py
+++ b/monsoonproxy/jobs.py
@@ -1,8 +1,11 @@
 """Callers' sessions, and their statements on the way to a backend server."""
 
+import asyncio
+from typing import Any, Protocol
+
 import attrs
 
-from monsoonproxy.clock import Millis
+from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.models import Position
 from monsoonproxy.queries import Code, Prepared
 from monsoonproxy.routes import Freshness, Route
@@ -20,6 +23,30 @@
 )
 
 
+class _Wire(Protocol):
+    def withdraw(self) -> None:
+        """Take back what was sent."""
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """A try to run a statement, which may outlive the statement's answer.
+
+    :param wire: The connection that it uses, once it has one.
+    :param task: What runs it.
+    """
+
+    wire: _Wire | None = None
+    task: 'asyncio.Task[Any] | None' = None
+
+    def withdraw(self) -> None:
+        """Make it end without running, or without being waited for."""
+        if self.wire is not None:
+            self.wire.withdraw()
+        elif self.task is not None:
+            self.task.cancel()
+
+
 @attrs.define
 class Session:
     """A caller's session.
@@ -28,12 +55,50 @@
     :param values: Values that the caller has set.
     :param prepared: The caller's prepared statements, by its own names.
     :param floor: Position of the latest commit of the session.
+    :param late: Attempts that outlived the answers to their statements.
+    :param runs_until: Until when a daemon that stood still may pass on an
+        attempt whose end nobody has confirmed.
     """
 
     number: int
     values: dict[bytes, bytes] = attrs.Factory(dict)
     prepared: dict[bytes, Prepared] = attrs.Factory(dict)
     floor: Position | None = None
+    late: set[Attempt] = attrs.Factory(set)
+    runs_until: Millis = Millis(0)
+
+    def outlived(self, attempt: Attempt) -> None:
+        """Take in that an attempt goes on after its statement's answer.
+
+        :param attempt: The attempt.
+        """
+        if attempt.task is not None and not attempt.task.done():
+            self.late.add(attempt)
+            attempt.task.add_done_callback(
+                lambda _done: self.late.discard(attempt)
+            )
+
+    def may_run_until(self, time: int) -> None:
+        """Take in that an attempt ended without confirmation.
+
+        :param time: Until when it may still run.
+        """
+        self.runs_until = max(self.runs_until, Millis(time))
+
+    async def end_late(self, clock: Clock) -> None:
+        """Wait until no attempt of an answered statement can run any more.
+
+        :param clock: Source of time.
+        """
+        tasks = []
+        for attempt in tuple(self.late):
+            attempt.withdraw()
+            tasks.append(attempt.task)
+        if tasks:
+            await asyncio.wait(filter(None, tasks))
+        left = self.runs_until - clock.now()
+        if left > 0:
+            await asyncio.sleep(seconds(left))
 
     def committed(self, position: Position | None) -> None:
         """Take in the position of a commit.
--- a/monsoonproxy/lanes.py
+++ b/monsoonproxy/lanes.py
@@ -61,9 +61,17 @@
         """Return the statements that give it a session's state."""
 
     def exchange(
-        self, payload: bytes, count: int = 1
+        self, payload: bytes, count: int, limit: float
     ) -> 'asyncio.Future[list[Answer]]':
-        """Send statements and wait for all their answers."""
+        """Send statements and wait for all their answers.
+
+        :param payload: The encoded statements.
+        :param count: How many there are.
+        :param limit: Time in ms after which they must not be passed on.
+        """
+
+    def withdraw(self) -> None:
+        """Take back what was sent; the exchange ends once that is done."""
 
     def abort(self) -> None:
         """Give it up at once; the backend server rolls back."""
--- a/monsoonproxy/pinned.py
+++ b/monsoonproxy/pinned.py
@@ -219,6 +219,7 @@
                 self.runner.judge_session(lease, answer)
                 await self.runner.pause(job)
         except ConnectionLostError as exc:
+            job.session.may_run_until(exc.runs_until)
             # Closing the connection makes the backend server roll back.
             self._give_back()
             return self._broken(str(exc))
--- a/monsoonproxy/reading.py
+++ b/monsoonproxy/reading.py
@@ -1,6 +1,8 @@
 """Runs reads outside transactions."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeAlias
 
 import attrs
 
@@ -8,7 +10,7 @@
 from monsoonproxy.clock import seconds
 from monsoonproxy.clusters import Lease, NotLeadingError
 from monsoonproxy.exceptions import ConnectionLostError
-from monsoonproxy.jobs import NOT_RUN, Job
+from monsoonproxy.jobs import NOT_RUN, Attempt, Job
 from monsoonproxy.lanes import Claim
 from monsoonproxy.logs import log_for
 from monsoonproxy.members import Member
@@ -34,6 +36,11 @@
 _LEADER_HEDGE = 300
 
 
+_Read: TypeAlias = Callable[
+    [Attempt, Member, Position | None], Coroutine[Any, Any, Answer | None]
+]
+
+
 async def read(runner: Runner, job: Job) -> Answer:
     """Run a read.
 
@@ -52,7 +59,7 @@
         self._runner = runner
         self._cluster = runner.cluster
         self._job = job
-        self._attempts: set[asyncio.Task[Answer | None]] = set()
+        self._attempts: dict[asyncio.Task[Answer | None], Attempt] = {}
         self._lagging = False
 
     async def run(self) -> Answer:
@@ -62,12 +69,17 @@
             await self._attempt_again()
             answer = await self._first_answer()
             if answer is not None:
-                self._job.given_up = True
+                self._give_up()
                 return answer
-        self._job.given_up = True
+        self._give_up()
         code = Code.LAGGING if self._lagging else Code.BUSY
         return self._runner.failure(code, f'not read: {self._job.tried}')
 
+    def _give_up(self) -> None:
+        self._job.given_up = True
+        for attempt in self._attempts.values():
+            self._job.session.outlived(attempt)
+
     @property
     def _left(self) -> float:
         return self._runner.left(self._job)
@@ -86,7 +98,6 @@
             return
         task = await self._next_attempt()
         if task is not None:
-            self._attempts.add(task)
             if pending:
                 self._cluster.telemetry.count('reads_hedged')
                 _log.bind(**self._fields()).debug('Read sent again')
@@ -118,7 +129,7 @@
             leader = await self._cluster.wait_leader(self._left)
             if leader is None:
                 return None
-            return self._runner.background.spawn(self._read_leader(leader))
+            return self._spawn(self._read_leader, leader, None)
         floor = await self._runner.required_floor(job)
         if floor is None:
             return None
@@ -132,7 +143,16 @@
             return None
         job.tried[option.name] = 'sent'
         member = self._cluster.members[option.name]
-        return self._runner.background.spawn(self._read_once(member, floor))
+        return self._spawn(self._read_once, member, floor)
+
+    def _spawn(
+        self, read: _Read, member: Member, floor: Position | None
+    ) -> 'asyncio.Task[Answer | None]':
+        attempt = Attempt()
+        task = self._runner.background.spawn(read(attempt, member, floor))
+        attempt.task = task
+        self._attempts[task] = attempt
+        return task
 
     async def _first_answer(self) -> Answer | None:
         """Wait until an attempt succeeds or another one should be made."""
@@ -141,12 +161,14 @@
         limit = self._left
         if len(self._attempts) < _MOST_ATTEMPTS:
             limit = min(limit, self._hedge_after())
-        done, self._attempts = await asyncio.wait(
+        done, _pending = await asyncio.wait(
             self._attempts,
             timeout=seconds(1) * max(1, limit),
             return_when=asyncio.FIRST_COMPLETED,
         )
         answers = [task.result() for task in done]
+        for ended in done:
+            self._attempts.pop(ended)
         return next((answer for answer in answers if answer is not None), None)
 
     def _hedge_after(self) -> float:
@@ -156,7 +178,7 @@
         return min(_HEDGE_MOST, max(_HEDGE_LEAST, expected))
 
     async def _read_once(
-        self, member: Member, floor: Position | None
+        self, attempt: Attempt, member: Member, floor: Position | None
     ) -> Answer | None:
         """Read from one backend server.
 
@@ -170,6 +192,7 @@
                     # The caller may have set other values since its answer.
                     lease.clean = True
                     return None
+                attempt.wire = lease.wire
                 await self._runner.adopt(lease, job)
                 payload = cluster.dialect.query(job.request_id, job.text, floor)
                 answers = await cluster.exchange(
@@ -183,7 +206,9 @@
             self._note_loss(member, exc)
         return None
 
-    async def _read_leader(self, member: Member) -> Answer | None:
+    async def _read_leader(
+        self, attempt: Attempt, member: Member, _floor: Position | None
+    ) -> Answer | None:
         """Read in a transaction that only a leader accepts."""
         cluster, job = self._cluster, self._job
         name = member.server.server_id
@@ -192,6 +217,7 @@
                 if job.given_up:
                     lease.clean = True
                     return None
+                attempt.wire = lease.wire
                 await self._runner.adopt(lease, job)
                 begun = await cluster.begin(lease, self._left)
                 if begun.succeeded:
@@ -249,6 +275,7 @@
 
     def _note_loss(self, member: Member, exc: ConnectionLostError) -> None:
         member.record.failed(self._runner.clock.now(), lost=True)
+        self._job.session.may_run_until(exc.runs_until)
         self._job.tried[member.server.server_id] = str(exc)
 
 
--- a/monsoonproxy/relays.py
+++ b/monsoonproxy/relays.py
@@ -120,14 +120,18 @@
         self.leases.clear()
 
     def _handle(self, message: forwards.Request | forwards.Response) -> None:
-        if isinstance(message, forwards.Ask):
-            self._start(message.stream, self._lend(message))
-        elif isinstance(message, forwards.Send):
-            self._start(message.stream, self._pass_on(message))
-        elif isinstance(message, forwards.Return):
-            self._take_back(message)
-        elif isinstance(message, forwards.Ping):
-            self._send(forwards.Pong(message.stream))
+        handle = _handlers.get(type(message))
+        if handle is not None:
+            handle(self, message)
+
+    def _take_ask(self, ask: forwards.Ask) -> None:
+        self._start(ask.stream, self._lend(ask))
+
+    def _take_send(self, sent: forwards.Send) -> None:
+        self._start(sent.stream, self._pass_on(sent))
+
+    def _take_ping(self, ping: forwards.Ping) -> None:
+        self._send(forwards.Pong(ping.stream))
 
     def _start(self, stream: int, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -154,7 +158,12 @@
             self.leases[ask.stream] = _Lent(lease)
             wire = lease.wire
             self._send(
-                forwards.Granted(ask.stream, wire.values, list(wire.prepared))
+                forwards.Granted(
+                    ask.stream,
+                    wire.values,
+                    list(wire.prepared),
+                    lease.cluster.clock.now(),
+                )
             )
 
     async def _acquire(self, ask: forwards.Ask) -> Lease:
@@ -170,8 +179,13 @@
         if lent is None or lent.busy:
             self._send(forwards.Broken(sent.stream, 'nothing is leased'))
             return
-        lent.busy = True
         cluster = self._cluster_of(lent)
+        if cluster.clock.now() > sent.until:
+            # This daemon stood still; the caller has its answer already.
+            _log.info('Statements of lease {} came too late', sent.stream)
+            self._send(forwards.Broken(sent.stream, 'too late'))
+            return
+        lent.busy = True
         try:
             answers = await cluster.exchange(
                 lent.lease, sent.payload, sent.count, _ANSWER_LIMIT
@@ -184,6 +198,13 @@
         finally:
             lent.busy = False
 
+    def _cancel(self, cancel: forwards.Cancel) -> None:
+        lent = self.leases.get(cancel.stream)
+        if lent is not None:
+            # Ends the exchange, which tells the other daemon; one that has not
+            # begun yet finds the connection closed.
+            lent.lease.wire.withdraw()
+
     def _take_back(self, back: forwards.Return) -> None:
         lent = self.leases.pop(back.stream, None)
         if lent is None:
@@ -203,6 +224,15 @@
             self._transport.write(forwards.encode(message))
 
 
+_handlers: dict[type, Callable[[RelayConnection, Any], None]] = {
+    forwards.Ask: RelayConnection._take_ask,
+    forwards.Send: RelayConnection._take_send,
+    forwards.Cancel: RelayConnection._cancel,
+    forwards.Return: RelayConnection._take_back,
+    forwards.Ping: RelayConnection._take_ping,
+}
+
+
 async def wait_idle(relay: Relay, limit: float) -> None:
     """Wait until no connection is lent, for a shutdown.
 
--- a/monsoonproxy/remotes.py
+++ b/monsoonproxy/remotes.py
@@ -145,6 +145,13 @@
         """
         self.leases.pop(message.stream, None)
         self._waiting.pop(message.stream, None)
+        self.tell(message)
+
+    def tell(self, message: forwards.Request) -> None:
+        """Send a message without waiting for a response to it.
+
+        :param message: The message.
+        """
         if self._transport is not None:
             self._transport.write(forwards.encode(message))
 
@@ -209,8 +216,8 @@
         if self._quiet >= _GONE_AFTER:
             self._on_gone(self.address)
             self.close()
-        elif self._quiet >= _PING_AFTER and self._transport is not None:
-            self._transport.write(forwards.encode(forwards.Ping(0)))
+        elif self._quiet >= _PING_AFTER:
+            self.tell(forwards.Ping(0))
 
     async def _connect(self) -> None:
         if self._transport is not None:
@@ -262,6 +269,8 @@
         self.closed = False
         self.answered_at = Millis(0)
         self.sent_at = Millis(0)
+        #: By how many ms the lender's clock is ahead of this daemon's at least.
+        self.lead = Millis(0)
         self._clock = clock
         self._waiter: asyncio.Task[list[Answer]] | None = None
 
@@ -271,25 +280,32 @@
         return self._waiter is not None and not self._waiter.done()
 
     def exchange(
-        self, payload: bytes, count: int = 1
+        self, payload: bytes, count: int, limit: float
     ) -> 'asyncio.Future[list[Answer]]':
         """Send statements and wait for all their answers."""
         self.sent_at = self._clock.now()
         self._waiter = asyncio.get_running_loop().create_task(
-            self._exchange(payload, count)
+            self._exchange(payload, count, Millis(self.sent_at + int(limit)))
         )
         return self._waiter
 
+    def withdraw(self) -> None:
+        """Take back what was sent; the exchange ends once that is done."""
+        if self.busy and not self.closed:
+            self.link.tell(forwards.Cancel(self.stream))
+        self.closed = True
+
     def abort(self) -> None:
         """Give it up at once; the backend server rolls back."""
         self.closed = True
 
-    async def _exchange(self, payload: bytes, count: int) -> list[Answer]:
+    async def _exchange(
+        self, payload: bytes, count: int, until: Millis
+    ) -> list[Answer]:
         if self.closed:
             raise ConnectionLostError('the connection is closed')
-        sent = forwards.Send(self.stream, payload, count)
+        response = await self._send(payload, count, until)
         try:
-            response = await self.link.send(sent)
             answers = self._decode(response)
         except (PeerError, DialectError) as exc:
             self.closed = True
@@ -300,6 +316,19 @@
         self.answered_at = self._clock.now()
         return answers
 
+    async def _send(
+        self, payload: bytes, count: int, until: Millis
+    ) -> forwards.Response:
+        sent = forwards.Send(self.stream, payload, count, until + self.lead)
+        try:
+            return await self.link.send(sent)
+        except PeerError as exc:
+            self.closed = True
+            # The lender may stand still, with the statement not read yet.
+            raise ConnectionLostError(
+                str(exc), sent=True, runs_until=until
+            ) from exc
+
     def _decode(self, response: forwards.Response) -> list[Answer]:
         if isinstance(response, forwards.Answers):
             return self._dialect.answer_reader().feed(response.payload)
@@ -490,6 +519,9 @@
         wire = RemoteWire(link, stream, self._dialect, self._clock)
         wire.values = granted.values
         wire.prepared = set(granted.prepared)
+        # The lender's clock shows at least so much more, since the grant was
+        # on its way for some time.
+        wire.lead = Millis(granted.now - self._clock.now())
         link.leases[stream] = wire
         number = next(self._numbers)
         self._wires[number] = wire
--- a/monsoonproxy/wires.py
+++ b/monsoonproxy/wires.py
@@ -119,7 +119,7 @@
         return self._dialect.open(self.server.service, self.server.server_id)
 
     def exchange(
-        self, payload: bytes, count: int = 1
+        self, payload: bytes, count: int = 1, _limit: float = 0
     ) -> 'asyncio.Future[list[Answer]]':
         """Send statements and wait for all their answers.
 
@@ -138,6 +138,10 @@
         self._transport.write(payload)
         return waiter
 
+    def withdraw(self) -> None:
+        """Take back what was sent."""
+        self.abort()
+
     def abort(self) -> None:
         """Close the connection at once; the backend server rolls back."""
         self.closed = True
--- a/monsoonproxy/writing.py
+++ b/monsoonproxy/writing.py
@@ -5,7 +5,7 @@
 from monsoonproxy import handover
 from monsoonproxy.clock import seconds
 from monsoonproxy.clusters import Lease
-from monsoonproxy.jobs import NOT_RUN, Job
+from monsoonproxy.jobs import NOT_RUN, Attempt, Job
 from monsoonproxy.lanes import Claim
 from monsoonproxy.members import Member
 from monsoonproxy.queries import Answer, Code, TransactionState
@@ -41,20 +41,23 @@
     The connection still takes the answer that is late, so that it need not be
     opened again.
     """
-    writing = runner.background.spawn(_write_once(runner, job, member))
+    attempt = Attempt()
+    writing = runner.background.spawn(_write_once(runner, job, attempt, member))
+    attempt.task = writing
     done, _late = await asyncio.wait(
         (writing,), timeout=seconds(1) * max(1, runner.left(job))
     )
     if done:
         return writing.result()
     job.given_up = True
+    job.session.outlived(attempt)
     code = Code.IN_DOUBT if job.sent else Code.BUSY
     name = member.server.server_id
     return runner.failure(code, f'{name}: no answer in time')
 
 
 async def _write_once(
-    runner: Runner, job: Job, member: Member
+    runner: Runner, job: Job, attempt: Attempt, member: Member
 ) -> Answer | None:
     """Write at the leader.
 
@@ -65,9 +68,11 @@
     claim = Claim(runner.left(job), job.priority, single=True)
     try:
         async with cluster.leased(member, claim) as lease:
+            attempt.wire = lease.wire
             answer = await _send(runner, job, lease)
             return answer and await _judge(runner, job, lease, answer)
     except NO_CONNECTION as exc:
+        job.session.may_run_until(getattr(exc, 'runs_until', 0))
         job.tried[member.server.server_id] = str(exc)
         if job.sent:
             return runner.failure(Code.IN_DOUBT, str(exc))
--- a/tests/test_forwards.py
+++ b/tests/test_forwards.py
@@ -10,8 +10,9 @@
 
 _MESSAGES = (
     forwards.Ask(1, 'ledger', 'db-1', 800, 2, single=True),
-    forwards.Granted(1, {b'lang': b'ar'}, [b'p1']),
-    forwards.Send(1, b'QUERY 1 READ a\r\n' * 300, 1),
+    forwards.Granted(1, {b'lang': b'ar'}, [b'p1'], 5),
+    forwards.Send(1, b'QUERY 1 READ a\r\n' * 300, 1, 5),
+    forwards.Cancel(1),
     forwards.Answers(1, b'ROW x\r\n'),
     forwards.Broken(1, 'closed'),
     forwards.Denied(2, 'full', unreachable=False),
--- a/tests/test_remotes.py
+++ b/tests/test_remotes.py
@@ -106,5 +106,5 @@
     asking = asyncio.ensure_future(lender.link.ask(_SERVER, _CLAIM))
     await asyncio.sleep(0.3)
     lender.silent = True
-    assert await _fails_within(lender.link.send(forwards.Send(9, b'', 1)), 1)
+    assert await _fails_within(lender.link.send(forwards.Send(9, b'', 1, 0)), 1)
     asking.cancel()
