--- /dev/null
+++ b/tests/test_platform_http.py
@@ -0,0 +1,77 @@
+"""Tests of calls to the platform."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+
+from site_platform.http import HttpClient
+
+from monsoonproxy.clock import Millis
+from monsoonproxy.exceptions import PlatformError
+from tests.fixtures import fixture, load_functions
+
+load_tests = load_functions(__name__)
+
+_LIMIT = Millis(200)
+_PARTS = 6
+_PAUSE_S = 0.1
+
+
+class _SlowServer:
+    """Answers in parts, as over a slow link.
+
+    :param sent: Parts that are sent, of all.
+    """
+
+    def __init__(self) -> None:
+        self.sent = _PARTS
+        self.address = ''
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer one call."""
+        await reader.readuntil(b'\r\n\r\n')
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {2 * _PARTS}\r\n\r\n'
+        writer.write(head.encode())
+        for _ in range(self.sent):
+            writer.write(b'[]')
+            await asyncio.sleep(_PAUSE_S)
+
+
+@fixture
+async def slow_server() -> AsyncIterator[_SlowServer]:
+    """Yield a server whose answers take longer than the limit of a call."""
+    slow = _SlowServer()
+    server = await asyncio.start_server(slow.serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    slow.address = f'{host}:{port}'
+    yield slow
+    server.close()
+
+
+async def test_long_answer_over_slow_link(slow_server: _SlowServer) -> None:
+    """Guards against a host that never gets a large configuration (RECOVER).
+
+    Pattern: all hosts lose power after 1,240 routes were added; on a link of
+    2 Mbit/s the document takes longer than the limit of a call, so that each
+    try was given up and none of the hosts served again.
+    """
+    client = HttpClient(slow_server.address)
+    reply = await client.call('GET', '/', timeout=_LIMIT)
+    assert reply.body == b'[]' * _PARTS
+    client.close()
+
+
+async def test_answer_that_stops(slow_server: _SlowServer) -> None:
+    """Guards against a call that waits for the rest of an answer."""
+    slow_server.sent = 2
+    client = HttpClient(slow_server.address)
+    began = time.monotonic()
+    try:
+        await client.call('GET', '/', timeout=_LIMIT)
+    except PlatformError:
+        assert time.monotonic() - began < 1
+    else:
+        raise AssertionError('there was an answer')
+    client.close()
