Fetch news within the availability zone, and pack the entries

Each daemon fetched each change from whoever told it first, the entries not packed; and at the first start 19 of 22 logged daemons followed the store, since the list took longer than the 0.2 s for which they waited.

Now delegates tell their own zone first, a daemon waits 50 ms for a source in its zone, entries are compressed, and the first start allows 2 s.

--- a/monsoonproxy/catalog.py
+++ b/monsoonproxy/catalog.py
@@ -12,7 +12,14 @@
 from monsoonproxy.routes import RouteTable, ServiceRules
 from monsoonproxy.running import Runner
 from monsoonproxy.servers import Server, ServerList
-from monsoonproxy.snapshots import Snapshot, Wanted, pack, unpack
+from monsoonproxy.snapshots import (
+    Snapshot,
+    Wanted,
+    pack,
+    pack_entries,
+    unpack,
+    unpack_entries,
+)
 from monsoonproxy.stores import Change, Changes, Documents
 
 _log = log_for('catalog')
@@ -43,8 +50,10 @@
         #: The entries as they lie in the store, and their version.
         self._entries: dict[str, bytes] = {}
         self._stamp = 0
-        #: The configuration in force as other daemons fetch it.
+        #: The configuration in force as other daemons fetch it, and the
+        #: entries once one has fetched them.
         self._packed = b''
+        self._packed_entries = b''
 
     def runner(self, service: str) -> Runner | None:
         """Return the runner of a service.
@@ -72,7 +81,9 @@
             configuration = self._packed
         if self._stamp <= wanted.stamp:
             return Snapshot(configuration)
-        return Snapshot(configuration, self._stamp, self._entries)
+        if not self._packed_entries:
+            self._packed_entries = pack_entries(self._entries)
+        return Snapshot(configuration, self._stamp, self._packed_entries)
 
     def take(self, snapshot: Snapshot) -> None:
         """Take over what another daemon has newer.
@@ -85,7 +96,7 @@
         if snapshot.stamp > self._stamp:
             rows = tuple(
                 Change(key, content, snapshot.stamp)
-                for key, content in snapshot.entries.items()
+                for key, content in unpack_entries(snapshot.entries).items()
             )
             changes = Changes(rows, snapshot.stamp)
             self.take_servers(changes, whole=True, failed_at=Millis(0))
@@ -135,6 +146,7 @@
         was_away = failed_at > 0 and now - failed_at < _LAPSE_WINDOW
         listed = []
         before = self._stamp
+        self._packed_entries = b''
         for row in changes.rows:
             self._stamp = max(self._stamp, row.version)
             if row.content is None:
@@ -208,6 +220,7 @@
     def _drop(self, server: Server) -> None:
         _log.info('{} of {} is gone', server.server_id, server.service)
         self._entries.pop(server.server_id, None)
+        self._packed_entries = b''
         runner = self.runners.get(server.service)
         if runner is not None:
             runner.cluster.remove(server.server_id)
--- a/monsoonproxy/delegation.py
+++ b/monsoonproxy/delegation.py
@@ -9,6 +9,7 @@
 from monsoonproxy.logs import log_for
 from monsoonproxy.models import Host
 from monsoonproxy.neighbours import Neighbour
+from monsoonproxy.node_settings import NodeSettings
 from monsoonproxy.stores import Changes, Store, Table
 from monsoonproxy.supervisors import Supervisor
 
@@ -17,6 +18,9 @@
 #: Time in ms after its start in which a daemon that is no delegate waits for
 #: the configuration and the entries from others. They have both within 30 ms.
 _NEWS_BY = Millis(200)
+#: The same at the first start of all, where the store needs a second for the
+#: rows of hundreds of daemons, and no callers are there yet.
+_FIRST_NEWS_BY = Millis(2_000)
 #: Time in ms after its start in which it has to hear delegates, once it has
 #: both: their presences come every 2 s.
 _HEARD_BY = Millis(2_500)
@@ -25,7 +29,7 @@
 class Delegation:
     """The followers of one daemon.
 
-    :param own: Address of the daemon's relay.
+    :param settings: The daemon's settings.
     :param store: The platform's store.
     :param catalog: Takes what is followed.
     :param supervisor: Runs the followers.
@@ -34,13 +38,14 @@
 
     def __init__(
         self,
-        own: str,
+        settings: NodeSettings,
         store: Store,
         catalog: Catalog,
         supervisor: Supervisor,
         clock: Clock,
     ) -> None:
-        self._own = own
+        self._own = settings.relay_address
+        self._news_by = _FIRST_NEWS_BY if settings.first_start else _NEWS_BY
         self._catalog = catalog
         self._supervisor = supervisor
         self._clock = clock
@@ -106,7 +111,8 @@
 
     def _is_patient(self, now: Millis) -> bool:
         """Tell whether others may still make following needless."""
-        limit = _HEARD_BY if all(self._catalog.versions()) else _NEWS_BY
+        has_news = all(self._catalog.versions())
+        limit = _HEARD_BY if has_news else self._news_by
         return now - self._started_at < limit
 
     def _take_servers(self, changes: Changes, whole: bool) -> None:
--- a/monsoonproxy/gossip.py
+++ b/monsoonproxy/gossip.py
@@ -1,6 +1,7 @@
 """Sends and receives notices between daemons."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Any
 
@@ -28,6 +29,9 @@
 FANOUT = 8
 #: Pause in ms between two fetches, whoever has something newer.
 _FETCH_PAUSE = Millis(200)
+#: Time in ms to wait for a daemon in the own availability zone that has it too,
+#: since bytes between zones cost. News are in all zones within one round trip.
+_NEAR_WITHIN = Millis(50)
 
 Handle = Callable[[Any, str], None]
 
@@ -63,6 +67,9 @@
         self._transport: Any = None
         self._server: asyncio.Server | None = None
         self._fetching: asyncio.Task[None] | None = None
+        #: Where to fetch from next, and whether it is near.
+        self._source: Neighbour | None = None
+        self._has_near = asyncio.Event()
 
     async def start(self) -> None:
         """Open the sockets."""
@@ -168,20 +175,39 @@
         known = self.neighbours.get(presence.sender)
         if known is None:
             return
-        version, stamp = self._library.versions()
-        if known.version > version or known.stamp > stamp:
+        if self._is_ahead(known):
             self._fetch(known)
+        version, stamp = self._library.versions()
         is_behind = known.version < version or known.stamp < stamp
         if is_behind or (is_new and len(self.neighbours) <= _FEW):
             # It learns of this daemon, or that there is something newer.
             self.announce((known,))
 
+    def _is_ahead(self, known: Neighbour) -> bool:
+        version, stamp = self._library.versions()
+        return known.version > version or known.stamp > stamp
+
     def _fetch(self, known: Neighbour) -> None:
+        if known.zone == self._own.zone:
+            self._source = known
+            self._has_near.set()
+        elif not self._has_near.is_set():
+            self._source = known
         if self._fetching is None or self._fetching.done():
             loop = asyncio.get_running_loop()
-            self._fetching = loop.create_task(self._fetch_from(known))
-
-    async def _fetch_from(self, known: Neighbour) -> None:
+            self._fetching = loop.create_task(self._fetch_newer())
+
+    async def _fetch_newer(self) -> None:
+        version, _stamp = self._library.versions()
+        if version:
+            # A daemon without a configuration can't serve and doesn't wait.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(seconds(_NEAR_WITHIN)):
+                    await self._has_near.wait()
+        known, self._source = self._source, None
+        self._has_near.clear()
+        if known is None or not self._is_ahead(known):
+            return
         try:
             await fetch(known.address, self._library)
         except PeerError as exc:
--- a/monsoonproxy/neighbours.py
+++ b/monsoonproxy/neighbours.py
@@ -176,22 +176,26 @@
         return self.pick(self.alive(now), most)
 
     def behind(
-        self, version: int, stamp: int, most: int, now: Millis
+        self, own: Neighbour, most: int, now: Millis
     ) -> tuple[Neighbour, ...]:
         """Choose receivers that lack what this daemon has.
 
-        :param version: Version of this daemon's configuration.
-        :param stamp: Version of its entries of backend servers.
+        Those in its own availability zone come first: they fetch it from here,
+        and bytes between zones cost.
+
+        :param own: This daemon.
         :param most: How many.
         :param now: The time.
         :returns: The daemons.
         """
-        lacking = tuple(
+        lacking = [
             known
             for known in self.alive(now)
-            if known.version < version or known.stamp < stamp
-        )
-        return self.pick(lacking, most)
+            if known.version < own.version or known.stamp < own.stamp
+        ]
+        self._rng.shuffle(lacking)
+        lacking.sort(key=lambda known: known.zone != own.zone)
+        return tuple(lacking[:most])
 
     def at(self, relays: frozenset[str]) -> tuple[Neighbour, ...]:
         """Return the daemons at some addresses.
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -102,7 +102,7 @@
         self._joiner = Joiner(settings, store, self._gossip, clock)
         self._joiner.on_list = self._take_list
         self._delegation = Delegation(
-            settings.relay_address,
+            settings,
             store,
             self.catalog,
             self._supervisor,
@@ -228,8 +228,9 @@
     def _tell_news(self) -> None:
         now = self._clock.now()
         if self._delegation.is_delegate:
-            versions = self.catalog.versions()
-            told = self._neighbours.behind(*versions, _BEHIND_TOLD, now)
+            own = self._own()
+            own.version, own.stamp = self.catalog.versions()
+            told = self._neighbours.behind(own, _BEHIND_TOLD, now)
         else:
             told = self._neighbours.some(FANOUT, now)
         self._gossip.announce(told)
--- a/monsoonproxy/snapshots.py
+++ b/monsoonproxy/snapshots.py
@@ -35,12 +35,12 @@
 
     :param configuration: The compressed document, or nothing.
     :param stamp: Version of the entries, or 0 for none.
-    :param entries: All entries by identity, as they lie in the store.
+    :param entries: All entries, packed by :func:`pack_entries`.
     """
 
     configuration: bytes = b''
     stamp: int = 0
-    entries: dict[str, bytes] = {}  # noqa: RUF012 - copied by the library
+    entries: bytes = b''
 
 
 def pack(document: bytes) -> bytes:
@@ -69,6 +69,28 @@
     return document
 
 
+def pack_entries(entries: dict[str, bytes]) -> bytes:
+    """Compress the backend servers' entries.
+
+    :param entries: The entries by identity, as they lie in the store.
+    :returns: The compressed entries.
+    """
+    return pack(msgspec.msgpack.encode(entries))
+
+
+def unpack_entries(packed: bytes) -> dict[str, bytes]:
+    """Return entries as they were.
+
+    :param packed: The compressed entries.
+    :returns: The entries by identity.
+    :raises PeerError: If they are damaged or too large.
+    """
+    try:
+        return msgspec.msgpack.decode(unpack(packed), type=dict[str, bytes])
+    except msgspec.MsgspecError as exc:
+        raise PeerError(f'damaged entries: {exc}') from exc
+
+
 class Library(Protocol):
     """What a daemon knows."""
 
