Refuse at once what is unservable behind a split, and spread reads

While the network was split, 262 reads of routes with an age bound were held for their whole time and then refused, tried at no database: the last known position of the leader was too old, and only the other side could tell a newer one. New callers kept coming to these daemons. Reads that were late at one database were not sent again (2,767 denied), and a burst of reads all went to the same replica while another was idle: a daemon counts what it has in work at its own gates only, which are unused where it borrows.

Now such reads are refused at once, and a daemon that misses a leader while most others are silent is not ready. Reads in work are counted for each database, also while they wait or are borrowed; a read may go to an idle database that answers in time without spending the budget; and a position is not waited for while an attempt is in work.

Ruled out: a free second attempt at any database with a free slot; the test of the overload caught it (10 of 40 reads sent again, 8 allowed).

Tests: two in test_reading fail before; a burst of 40 reads is sent again 3 times, before 8 to 16.

--- a/monsoonproxy/catalog.py
+++ b/monsoonproxy/catalog.py
@@ -63,6 +63,15 @@
         """
         return self.runners.get(service)
 
+    def is_apart(self) -> bool:
+        """Tell whether this daemon is behind a partition.
+
+        :returns: Whether it misses a leader while most other daemons are
+            silent, so that callers are served better elsewhere.
+        """
+        leaders = (each.cluster.leader for each in self.runners.values())
+        return any(leader is not None and leader.is_apart for leader in leaders)
+
     def versions(self) -> tuple[int, int]:
         """Return the versions of configuration and entries.
 
--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -157,11 +157,10 @@
         """
         leader = self.leader
         for name, member in self.members.items():
-            gate = member.lane.gate
             yield selection.Option(
                 name,
                 member.record,
-                gate.running + gate.waiting,
+                member.in_work,
                 member.server.slots,
                 is_near=member.server.availability_zone == self._shared.zone,
                 is_leader=member is leader,
--- a/monsoonproxy/members.py
+++ b/monsoonproxy/members.py
@@ -36,9 +36,12 @@
     :param borrowed: Connections of other daemons, for when there are no own
         ones.
     :param is_cut_off: Whether others reach it and this daemon does not.
+    :param is_apart: Whether most other daemons are silent as well.
     :param record: Measurements.
     :param answered_at: When it last answered.
     :param silent_since: Since when an answer is overdue, or ``None``.
+    :param reads: Reads of this daemon that are in work there, or wait for a
+        connection to it.
     :param opening_since: Since when its host accepts connections while the
         server has never answered, or ``None``.
     """
@@ -48,11 +51,22 @@
     direct: DirectLane
     borrowed: RemoteLane
     is_cut_off: bool = False
+    is_apart: bool = False
     record: selection.Record = attrs.Factory(selection.Record)
     answered_at: Millis = Millis(0)
     silent_since: Millis | None = None
+    reads: int = 0
     opening_since: Millis | None = None
 
+    @property
+    def in_work(self) -> int:
+        """Return how many statements of this daemon are in work or wait there.
+
+        A lender's gate does not tell what a borrower has there.
+        """
+        gate = self.lane.gate
+        return max(self.reads, gate.running + gate.waiting)
+
     def answered(self, now: Millis) -> None:
         """Take in a sign of life.
 
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -124,7 +124,9 @@
     @property
     def ready(self) -> bool:
         """Tell whether new callers should come here."""
-        return self.catalog.table is not None and not self._stopping.is_set()
+        if self.catalog.table is None or self._stopping.is_set():
+            return False
+        return not self.catalog.is_apart()
 
     def metrics_text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
--- a/monsoonproxy/pinned.py
+++ b/monsoonproxy/pinned.py
@@ -126,13 +126,15 @@
     async def _leased(self, job: Job) -> Lease | None:
         """Return the connection; begin on a backend server if need be."""
         at_leader = runs_at_leader(job, read_only=self.read_only)
+        needs_leader = at_leader
         while self._lease is None and self.runner.left(job) > 0:
-            if at_leader and self.runner.leaders.is_hopeless:
+            if needs_leader and self.runner.leaders.is_hopeless:
                 break
             if at_leader:
                 await self._begin_at_leader(job)
             else:
                 await self._begin_anywhere(job)
+                needs_leader = job.floor is None
         return self._lease
 
     async def _begin_at_leader(self, job: Job) -> None:
--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -144,6 +144,7 @@
             await asyncio.sleep(seconds(1) * pause)
             pause = min(_LONGEST_RETRY_PAUSE, pause * _RETRY_GROWTH)
         member.is_cut_off = False
+        member.is_apart = False
         member.borrowed.restrict(None)
 
     async def _carry_out(
@@ -156,6 +157,7 @@
         neighbours = self._gossip.neighbours
         member.borrowed.restrict(neighbours.relays_of(finding.reaching))
         member.is_cut_off = finding.is_cut_off
+        member.is_apart = finding.is_cut_off and finding.is_apart
         return False
 
     def _still_leads(self, cluster: Cluster, member: Member) -> bool:
--- a/monsoonproxy/reading.py
+++ b/monsoonproxy/reading.py
@@ -1,8 +1,7 @@
 """Runs reads outside transactions."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any, TypeAlias
+from functools import partial
 
 import attrs
 
@@ -36,11 +35,6 @@
 _LEADER_HEDGE = 300
 
 
-_Read: TypeAlias = Callable[
-    [Attempt, Member, Position | None], Coroutine[Any, Any, Answer | None]
-]
-
-
 async def read(runner: Runner, job: Job) -> Answer:
     """Run a read.
 
@@ -52,6 +46,18 @@
     return await _Reading(runner, job).run()
 
 
+@attrs.frozen
+class _Target:
+    """Where to send a read.
+
+    :param member: The backend server.
+    :param floor: Position that its log must have; ``None`` for the leader.
+    """
+
+    member: Member
+    floor: Position | None = None
+
+
 class _Reading:
     """One read with its attempts."""
 
@@ -61,6 +67,8 @@
         self._job = job
         self._attempts: dict[asyncio.Task[Answer | None], Attempt] = {}
         self._lagging = False
+        #: Whether only the leader can tell how recent the data must be.
+        self._lacks_floor = False
 
     async def run(self) -> Answer:
         """Make attempts until one succeeds or the time is over."""
@@ -87,24 +95,41 @@
     @property
     def _is_hopeless(self) -> bool:
         """Tell whether only other daemons can serve the read now."""
-        return self._job.needs_leader and self._runner.leaders.is_hopeless
+        needs_leader = self._job.needs_leader or self._lacks_floor
+        return needs_leader and self._runner.leaders.is_hopeless
 
     async def _attempt_again(self) -> None:
         pending = len(self._attempts)
         if not self._may_attempt(pending):
             return
-        if pending and not self._runner.hedges.take(self._runner.clock.now()):
-            self._cluster.telemetry.count('hedges_denied')
-            return
-        task = await self._next_attempt()
-        if task is not None:
-            if pending:
-                self._cluster.telemetry.count('reads_hedged')
-                _log.bind(**self._fields()).debug('Read sent again')
-        elif not pending:
-            self._lagging = Code.LAGGING.value in self._job.tried.values()
-            self._job.tried.clear()
-            await self._runner.pause(self._job)
+        target = await self._next_target()
+        if target is None:
+            if not pending:
+                await self._wait_for_targets()
+        elif not pending or self._may_hedge(target.member):
+            self._begin(target)
+
+    async def _wait_for_targets(self) -> None:
+        self._lagging = Code.LAGGING.value in self._job.tried.values()
+        self._job.tried.clear()
+        await self._runner.pause(self._job)
+
+    def _may_hedge(self, member: Member) -> bool:
+        """Tell whether the read may be sent to another backend server as well.
+
+        One that answers other reads in time and has nothing of this daemon in
+        work loses nothing.
+        While all are overloaded, the budget keeps reads from being doubled.
+        """
+        telemetry, now = self._cluster.telemetry, self._runner.clock.now()
+        if not member.in_work and member.record.is_timely(now):
+            telemetry.count('reads_hedged_freely')
+        elif not self._runner.hedges.take(now):
+            telemetry.count('hedges_denied')
+            return False
+        telemetry.count('reads_hedged')
+        _log.bind(**self._fields()).debug('Read sent again')
+        return True
 
     def _fields(self) -> dict[str, object]:
         job = self._job
@@ -123,14 +148,17 @@
         overtaken = leader and leader.answered_at - arrived > _LEADER_HEDGE
         return pending < 2 and waited > _LEADER_HEDGE and bool(overtaken)
 
-    async def _next_attempt(self) -> 'asyncio.Task[Answer | None] | None':
+    async def _next_target(self) -> _Target | None:
         job = self._job
         if job.needs_leader:
             leader = await self._cluster.wait_leader(self._left)
-            if leader is None:
-                return None
-            return self._spawn(self._read_leader, leader, None)
-        floor = await self._runner.required_floor(job)
+            return _Target(leader) if leader else None
+        if self._attempts:
+            # An answer may come while a new position is waited for.
+            floor = self._runner.known_floor(job)
+        else:
+            floor = await self._runner.required_floor(job)
+        self._lacks_floor = floor is None
         if floor is None:
             return None
         option = selection.choose(
@@ -141,18 +169,20 @@
         )
         if option is None:
             return None
-        job.tried[option.name] = 'sent'
-        member = self._cluster.members[option.name]
-        return self._spawn(self._read_once, member, floor)
+        return _Target(self._cluster.members[option.name], floor)
 
-    def _spawn(
-        self, read: _Read, member: Member, floor: Position | None
-    ) -> 'asyncio.Task[Answer | None]':
+    def _begin(self, target: _Target) -> None:
+        member = target.member
         attempt = Attempt()
-        task = self._runner.background.spawn(read(attempt, member, floor))
-        attempt.task = task
-        self._attempts[task] = attempt
-        return task
+        if self._job.needs_leader:
+            reading = self._read_leader(attempt, member)
+        else:
+            self._job.tried[member.server.server_id] = 'sent'
+            reading = self._read_once(attempt, member, target.floor)
+        attempt.task = self._runner.background.spawn(reading)
+        self._attempts[attempt.task] = attempt
+        member.reads += 1
+        attempt.task.add_done_callback(partial(_ended, member))
 
     async def _first_answer(self) -> Answer | None:
         """Wait until an attempt succeeds or another one should be made."""
@@ -207,7 +237,7 @@
         return None
 
     async def _read_leader(
-        self, attempt: Attempt, member: Member, _floor: Position | None
+        self, attempt: Attempt, member: Member
     ) -> Answer | None:
         """Read in a transaction that only a leader accepts."""
         cluster, job = self._cluster, self._job
@@ -279,6 +309,10 @@
         self._job.tried[member.server.server_id] = str(exc)
 
 
+def _ended(member: Member, _task: 'asyncio.Task[Answer | None]') -> None:
+    member.reads -= 1
+
+
 def runs_at_leader(job: Job, *, read_only: bool) -> bool:
     """Tell whether a transaction must run at the leader.
 
--- a/monsoonproxy/running.py
+++ b/monsoonproxy/running.py
@@ -123,7 +123,17 @@
             await self.leaders.sample(self.left(job))
         elif age > max_age * _RENEWAL_SHARE:
             self.background.spawn(self.leaders.sample(self.left(job)))
-        floor = samples.required(max_age, self.clock.now())
+        return self.known_floor(job)
+
+    def known_floor(self, job: Job) -> Position | None:
+        """Return the position that a read must reflect, as far as it is known.
+
+        :param job: A read of a route with an age bound.
+        :returns: The position, or ``None`` if the last one known is too old.
+        """
+        floor = self.cluster.floors.required(
+            job.route.max_age, self.clock.now()
+        )
         own = job.session.floor
         if floor is not None and own is not None:
             if job.route.freshness is Freshness.SESSION:
--- a/monsoonproxy/selection.py
+++ b/monsoonproxy/selection.py
@@ -18,6 +18,10 @@
 #: with each further failure.
 _FIRST_EJECTION = 250
 _LONGEST_EJECTION = 4_000
+#: Time in ms within which an answer is as fast as without any queue, and for
+#: how long it shows that the backend server has time for more.
+_TIMELY = 60
+_TIMELY_FOR = 300
 #: Share of failed answers above which a backend server is set aside.
 _FAILURE_LIMIT = 0.15
 _FAILURE_SMOOTHING = 0.1
@@ -40,6 +44,7 @@
     :param refusals: How often it was too far behind in a row.
     :param ejected_until: Until when it gets no reads.
     :param ejections: How often it was set aside in a row.
+    :param timely_at: When it last answered without a queue, or ``None``.
     """
 
     latency: float = _INITIAL
@@ -50,6 +55,7 @@
     refusals: int = 0
     ejected_until: int = 0
     ejections: int = 0
+    timely_at: Millis | None = None
 
     def answered(
         self, took: float, position: Position | None, now: Millis
@@ -64,9 +70,18 @@
         self.failures -= self.failures * _FAILURE_SMOOTHING
         self.refusals = 0
         self.seen(position)
+        self.timely_at = now if took < _TIMELY else None
         if now >= self.ejected_until:
             self.ejections = 0
 
+    def is_timely(self, now: Millis) -> bool:
+        """Tell whether its latest answer is recent and came at once.
+
+        :param now: The time.
+        :returns: Whether it has time for more.
+        """
+        return self.timely_at is not None and now - self.timely_at < _TIMELY_FOR
+
     def seen(self, position: Position | None) -> None:
         """Take in a position.
 
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -8,6 +8,7 @@
 from stand_ins.site import OWN, SERVICE, SiteStandIn
 
 from monsoonproxy.clusters import Lease
+from monsoonproxy.floors import Floors
 from monsoonproxy.lanes import Claim
 from monsoonproxy.members import Member
 from tests.fixtures import load_functions
@@ -69,3 +70,60 @@
             database.faults.lose_answers = 1
     async with asyncio.timeout(1):
         assert not (await caller.run('READ a')).code
+
+
+async def test_unservable_read_is_refused_at_once(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against reads that are held to their end and then refused.
+
+    Pattern: the network is split; the leader and most other daemons are on the
+    other side. Once the last known position is too old for a route, nothing on
+    this side can tell whether a replica is fresh enough, while callers that are
+    refused are served by a daemon on the other side.
+    """
+    caller = await platform_site.caller(OWN)
+    assert not (await caller.run('READ a')).code
+    runner = platform_site.nodes[0].catalog.runner(SERVICE)
+    assert runner is not None
+    cluster = runner.cluster
+    assert cluster.leader is not None
+    cluster.leader.is_cut_off = True
+    cluster.leader.is_apart = True
+    cluster.leader.borrowed.restrict(frozenset())
+    cluster.floors = Floors()
+    with mock.patch.object(runner.leaders, 'sample', _no_sample):
+        async with asyncio.timeout(0.2):
+            assert (await caller.run('READ a')).code == 'BUSY'
+            assert (await caller.run('BEGIN READ')).state == b'T'
+            assert (await caller.run('READ a')).code == 'BUSY'
+    assert not platform_site.nodes[0].ready
+    cluster.leader.is_apart = False
+    assert platform_site.nodes[0].ready
+
+
+async def _no_sample(_limit: float) -> bool:
+    return False
+
+
+async def test_silent_path_spends_no_budget(platform_site: SiteStandIn) -> None:
+    """Guards against reads that wait since a cut has used up the budget.
+
+    Pattern: the way to one backend server falls silent for seconds while the
+    others answer at once; a third of the reads go to the silent one first.
+    """
+    caller = await platform_site.caller(OWN)
+    runner = platform_site.nodes[0].catalog.runner(SERVICE)
+    assert runner is not None
+    for _ in range(_READS):
+        assert not (await caller.run('READ a')).code
+    silent = next(each for each in platform_site.databases if not each.leads)
+    silent.faults.silent = True
+    first = runner.cluster.members[silent.server_id].record
+    for _ in range(10):
+        # Not set aside, as seen by a daemon with few reads a second.
+        first.latency, first.ejected_until = 0, 0
+        async with asyncio.timeout(0.3):
+            assert not (await caller.run('READ a')).code
+    assert events(platform_site.nodes, 'reads_hedged') >= 5
+    assert not events(platform_site.nodes, 'hedges_denied')
