--- a/monsoonproxy/notices.py
+++ b/monsoonproxy/notices.py
@@ -4,10 +4,13 @@
 them may be lost, doubled or late.
 """
 
+import ipaddress
 from typing import TypeAlias
 
 import msgspec
 
+_LAST_PORT = 65_535
+
 
 class _Notice(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Base of all notices.
@@ -130,9 +133,15 @@
     :returns: The notice, or ``None`` if it is malformed.
     """
     try:
-        return _decoder.decode(datagram)
+        notice = _decoder.decode(datagram)
     except msgspec.MsgspecError:
         return None
+    if isinstance(notice, Presence):
+        return notice if _is_reachable(notice) else None
+    if isinstance(notice, Roster):
+        is_whole = all(map(_is_reachable, notice.listings.values()))
+        return notice if is_whole else None
+    return notice
 
 
 def decode_listing(content: bytes) -> Listing | None:
@@ -142,6 +151,24 @@
     :returns: Where the daemon is, or ``None`` if it is malformed.
     """
     try:
-        return _listing_decoder.decode(content)
+        listing = _listing_decoder.decode(content)
     except msgspec.MsgspecError:
         return None
+    return listing if _is_reachable(listing) else None
+
+
+def _is_reachable(where: Presence | Listing) -> bool:
+    """Tell whether something can be sent to a daemon's addresses.
+
+    One address that can't be used would end each task that sends to all.
+    """
+    return _is_address(where.address) and _is_address(where.relay)
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return port.isdecimal() and 0 < int(port) <= _LAST_PORT
--- a/monsoonproxy/supervisors.py
+++ b/monsoonproxy/supervisors.py
@@ -125,10 +125,14 @@
 
     async def _keep(self, child: _Child) -> None:
         while self._starts_again(child, failed=await self._run_once(child)):
+            pause = child.rule.backoff
             if self._passed_limit(child):
-                self._escalate(child)
-                return
-            await asyncio.sleep(seconds(child.rule.backoff))
+                if self._escalate(child):
+                    return
+                # Nobody above decides; a daemon without the task would serve
+                # on in a state that nobody expects.
+                pause = child.rule.window
+            await asyncio.sleep(seconds(pause))
         self._children.pop(child.name, None)
 
     def _starts_again(self, child: _Child, *, failed: bool) -> bool:
@@ -156,9 +160,13 @@
         child.restarts.append(now)
         return len(child.restarts) > child.rule.most
 
-    def _escalate(self, child: _Child) -> None:
+    def _escalate(self, child: _Child) -> bool:
+        """Make the supervisor fail; return whether somebody waits for it."""
         _log.error('{}: {} failed too often', self.name, child.name)
-        if self._failed is not None and not self._failed.done():
+        if self._failed is None:
+            return False
+        if not self._failed.done():
             self._failed.set_exception(
                 SupervisorError(f'{self.name}: {child.name} failed too often')
             )
+        return True
--- /dev/null
+++ b/tests/test_malformed.py
@@ -0,0 +1,152 @@
+"""Fuzzing of the platform program's decoders, and of what acts on them."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+from site_platform.documents import PlatformDocuments
+from stand_ins.site import CURRENT, SiteStandIn
+
+from monsoonproxy import forwards, notices, snapshots
+from monsoonproxy.clock import Millis
+from monsoonproxy.dialects import dialects
+from monsoonproxy.exceptions import MonsoonError
+from monsoonproxy.supervisors import RestartRule, Supervisor
+from tests.fixtures import load_functions
+from tests.platform_sites import until
+
+load_tests = load_functions(__name__)
+
+_TAGS = (
+    'Presence',
+    'Question',
+    'Opinion',
+    'Succession',
+    'RosterRequest',
+    'Roster',
+    'Ask',
+    'Send',
+    'Return',
+    'Granted',
+    'Answers',
+)
+_SCALARS = st.none() | st.booleans() | st.integers(-9, 2**40)
+_VALUES: Any = st.recursive(
+    _SCALARS | st.text(max_size=9),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+#: Messages with a known tag and any fields, and bytes that are none.
+_MESSAGES = st.tuples(
+    st.sampled_from(_TAGS), st.lists(_VALUES, max_size=10)
+).map(lambda parts: msgspec.msgpack.encode([parts[0], *parts[1]])) | st.binary(
+    max_size=80
+)
+
+
+def _accepts(decode: Any, content: bytes) -> bool:
+    """Decode; return whether it succeeded.
+
+    :raises Exception: If it failed with anything but an error of its own.
+    """
+    try:
+        return decode(content) is not None
+    except MonsoonError:
+        return False
+
+
+@given(_MESSAGES)
+def test_messages_between_daemons(content: bytes) -> None:
+    """Guards against a message that ends the task which reads it."""
+    framed = len(content).to_bytes(4, 'big') + content
+    _accepts(notices.decode, content)
+    _accepts(notices.decode_listing, content)
+    _accepts(lambda data: forwards.Reader().feed(data), framed)
+    _accepts(lambda data: forwards.Reader().feed(data), content)
+    _accepts(snapshots.unpack, content)
+    _accepts(snapshots.unpack_entries, snapshots.pack(content))
+
+
+@given(
+    st.binary(max_size=60),
+    st.sampled_from(
+        (b'OPEN ', b'QUERY ', b'QUERY 1 ', b'READY ', b'ROW ', b'')
+    ),
+)
+def test_lines(content: bytes, word: bytes) -> None:
+    """Guards against lines of callers and databases that raise other errors."""
+    dialect = dialects.get('lines')()
+    line = word + content + b'\r\n'
+    _accepts(lambda data: dialect.caller_reader().feed(data), line)
+    _accepts(lambda data: dialect.answer_reader().feed(data), line)
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(
+            ('version', 'routes', 'services', 'limits', 'addr', 'service')
+        ),
+        _VALUES,
+    )
+)
+def test_documents(document: dict[str, Any]) -> None:
+    """Guards against rows of another writer that end a follower."""
+    content = msgspec.json.encode(document)
+    _accepts(PlatformDocuments().routes, content)
+    _accepts(lambda data: PlatformDocuments().server('i-1', data), content)
+
+
+async def test_presence_without_address(platform_site: SiteStandIn) -> None:
+    """Guards against notices that end with one malformed address.
+
+    Pattern: a host sends a well-formed presence whose address can't be used,
+    and a row of another writer names one too. All later notices of the daemon
+    were lost with its task.
+    """
+    node = platform_site.nodes[0]
+    presence = notices.Presence(
+        'odd', 'nowhere', 'nowhere', 'zone-1', 1, 1, 1, follows=False
+    )
+    for target in platform_site.nodes:
+        host, port = target._settings.peer_address.rsplit(':', 1)
+        (
+            sender,
+            _protocol,
+        ) = await asyncio.get_running_loop().create_datagram_endpoint(
+            asyncio.DatagramProtocol, remote_addr=(host, int(port))
+        )
+        sender.sendto(notices.encode(presence))
+        sender.close()
+    # Each daemon has told all others of itself within 2 s.
+    await asyncio.sleep(4)
+    assert node._neighbours.get('odd') is None
+    assert 'gossip' in node._supervisor.children()
+    again = await platform_site.add_node()
+    await until(lambda: again.gauges()['daemons_alive'] >= 3)
+    caller = await platform_site.caller(CURRENT, 3)
+    assert not (await caller.run('READ a')).code
+
+
+async def test_task_without_supervisor_above_goes_on() -> None:
+    """Guards against a daemon that serves on without one of its tasks.
+
+    Pattern: an unexpected error comes back for some seconds, more often than
+    the restart rule allows, and nobody is above the daemon's supervisor.
+    """
+    runs = []
+    supervisor = Supervisor('node')
+
+    async def fail() -> None:
+        runs.append(1)
+        raise LookupError('unexpected')
+
+    rule = RestartRule(most=2, window=Millis(100), backoff=Millis(5))
+    supervisor.start_child('sweep', fail, rule)
+    await until(lambda: len(runs) >= 8)
+    assert supervisor.children() == ('sweep',)
+    await supervisor.stop()
