Answer what has arrived before idle connections are closed

Looked for: a planned stop that cuts requests just accepted. It was real: a daemon that stops closes its idle connections in one turn of the event loop; a request that lay in the kernel's buffer was reset without an answer, and a single write is not tried again by its caller then.

Now each batch of 16 connections is closed right after a turn of the event loop that reads what has arrived.

Ruled out: a half-close; the caller closes on it, so a request that crosses it has no answer either.

Test: forty requests in the buffers while idle connections close; without the turns of the loop the connections are reset.

--- a/monsoonproxy/clients.py
+++ b/monsoonproxy/clients.py
@@ -23,6 +23,9 @@
 
 #: Messages of one caller that wait; reading pauses beyond.
 _MAX_WAITING = 32
+#: Connections closed between two turns of the event loop, so that hardly a
+#: request arrives meanwhile.
+_CLOSED_AT_ONCE = 16
 
 
 class Watcher(Protocol):
@@ -77,11 +80,21 @@
             lambda: ClientConnection(self), host, int(port), backlog=512
         )
 
-    def close_idle(self) -> None:
-        """Close each connection between requests and outside transactions."""
+    async def close_idle(self) -> None:
+        """Close each connection between requests and outside transactions.
+
+        Closing a connection with bytes that were not read resets it, and its
+        caller would not know whether the request ran. So what has arrived is
+        read just before.
+        """
         self.closing = True
-        for connection in tuple(self.connections):
-            connection.close_if_idle()
+        connections = tuple(self.connections)
+        for start in range(0, len(connections), _CLOSED_AT_ONCE):
+            # One turn of the event loop reads what has arrived.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            for connection in connections[start : start + _CLOSED_AT_ONCE]:
+                connection.close_if_idle()
 
     def end_transactions(self, reason: str) -> None:
         """Roll back the open transactions; callers learn it when they ask.
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -272,14 +272,14 @@
         # The balancer notices within two probes; until then callers that are
         # closed would come back.
         await asyncio.sleep(seconds(grace) * _CLOSE_SHARE)
-        self._clients.close_idle()
+        await self._clients.close_idle()
         until = began + grace * _TRANSACTIONS_SHARE
         while self._clients.connections and clock.now() < until:
             await asyncio.sleep(seconds(_DRAIN_PAUSE))
         self._clients.end_transactions('the daemon is stopping')
         until = began + grace * _END_SHARE
         while self._clients.connections and clock.now() < until:
-            self._clients.close_idle()
+            await self._clients.close_idle()
             await asyncio.sleep(seconds(_DRAIN_PAUSE))
         await wait_idle(self._relay, until - clock.now())
 
--- a/tests/test_platform_transactions.py
+++ b/tests/test_platform_transactions.py
@@ -99,6 +99,24 @@
     assert len(platform_site.leader.log) == 1
 
 
+async def test_shutdown_answers_what_has_arrived(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against requests cut off in the moment when idle sessions close.
+
+    Pattern: a planned stop under load; requests lie in the kernel's buffers
+    while the daemon closes its idle connections one after another.
+    """
+    node = platform_site.nodes[0]
+    callers = [await platform_site.caller(OWN) for _ in range(40)]
+    for caller in callers:
+        caller.send(b'QUERY arrived READ a\r\n')
+    await node._clients.close_idle()
+    replies = await asyncio.gather(*(each.reply() for each in callers))
+    assert not any(reply.code for reply in replies)
+    assert all([await each.closed() for each in callers])
+
+
 async def test_shutdown_ends_transactions(platform_site: SiteStandIn) -> None:
     """Guards against an open transaction that holds up a shutdown."""
     node = platform_site.nodes[0]
