Remove the rows of hosts that are gone for good

Now each daemon looks at the list every 20 min, forgets those that it has missed for 4 h without a gap, and delegates remove their rows under the condition that they are unchanged. A daemon that stood still, or misses half of the list, concludes nothing; times are those since boot. A row that is removed by mistake is written again by its daemon.

Ruled out: a time of the last sign of life in the row, which costs a write for each daemon again and again.

--- a/monsoonproxy/joining.py
+++ b/monsoonproxy/joining.py
@@ -54,7 +54,7 @@
         self._gossip = gossip
         self._neighbours = gossip.neighbours
         self._clock = clock
-        self._listing = notices.Listing(
+        self.listing = notices.Listing(
             settings.peer_address,
             settings.relay_address,
             settings.availability_zone,
@@ -64,7 +64,7 @@
 
     async def run(self) -> None:
         """Read the list of daemons, with this one in it."""
-        own = notices.encode(self._listing)
+        own = notices.encode(self.listing)
         is_listed = self._settings.first_start
         if is_listed:
             # Of two daemons that write before they read, one at least finds
@@ -126,7 +126,7 @@
             for known in self._neighbours.alive(now)
             if not known.leaving
         }
-        listings[self._settings.name] = self._listing
+        listings[self._settings.name] = self.listing
         names = sorted(listings)
         for start in range(0, len(names), _PER_DATAGRAM):
             part = names[start : start + _PER_DATAGRAM]
--- a/monsoonproxy/neighbours.py
+++ b/monsoonproxy/neighbours.py
@@ -133,6 +133,13 @@
         known.heard_at = now
         return is_new
 
+    def forget(self, name: str) -> None:
+        """Drop a daemon.
+
+        :param name: Its name.
+        """
+        self._known.pop(name, None)
+
     def relays_of(self, names: Iterable[str]) -> frozenset[str]:
         """Return where daemons lend connections.
 
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -22,6 +22,7 @@
 from monsoonproxy.promotion import Promoter
 from monsoonproxy.relays import Relay, wait_idle
 from monsoonproxy.remotes import Links
+from monsoonproxy.retirement import Retirement
 from monsoonproxy.servers import Server
 from monsoonproxy.stores import Documents, Store
 from monsoonproxy.supervisors import Restart, RestartRule, Supervisor
@@ -108,6 +109,13 @@
             self._supervisor,
             clock,
         )
+        self._retirement = Retirement(
+            settings.name,
+            self._joiner.listing,
+            store,
+            self._neighbours,
+            clock,
+        )
         self._gossip.follows = lambda: self._delegation.connected
         jury = Jury(self._gossip, find, clock, rng)
         self._promoter = Promoter(store, self._gossip, jury, find, clock)
@@ -167,6 +175,7 @@
         children.start_child('seeds', self._joiner.ask_seeds, _ONCE)
         children.start_child('gossip', self._gossip.run)
         children.start_child('sweep', self._sweep)
+        children.start_child('retirement', self._retirement.run)
         children.start_child('report', self._report)
         _log.info('{} started', self._settings.name)
 
@@ -255,6 +264,7 @@
             self._lending.clear()
             self._delegation.choose(hosts)
             self._gossip.is_delegate = self._delegation.is_delegate
+            self._retirement.is_delegate = self._delegation.is_delegate
         if self._joiner.has_list or now - self._started_at >= _PLAN_BY:
             self.catalog.replan(len(hosts))
 
--- a/monsoonproxy/stores.py
+++ b/monsoonproxy/stores.py
@@ -95,6 +95,15 @@
         :param content: New content.
         """
 
+    async def remove(self, table: Table, key: str, expected: int) -> bool:
+        """Remove a row if its version is as expected.
+
+        :param table: The table.
+        :param key: Key of the row.
+        :param expected: Version that the row must have.
+        :returns: Whether it was removed.
+        """
+
     async def promote(
         self, service: str, server_id: str, holder: str, token: int
     ) -> None:
