Wait for an attempt in work when no new position is known

Cause: found when reading the change that refuses unservable reads: once the last known position was too old, a read with an attempt in work was refused as well, though a replica was about to answer.

Ruled out: the same for reads that need the leader; their attempts are at the leader that is missed.

Test: test_attempt_in_work_is_waited_for fails before. A write's attempt also lets go of its connection when it is lost.

--- a/monsoonproxy/reading.py
+++ b/monsoonproxy/reading.py
@@ -95,7 +95,9 @@
     @property
     def _is_hopeless(self) -> bool:
         """Tell whether only other daemons can serve the read now."""
-        needs_leader = self._job.needs_leader or self._lacks_floor
+        needs_leader = self._job.needs_leader
+        if self._lacks_floor and not self._attempts:
+            needs_leader = True
         return needs_leader and self._runner.leaders.is_hopeless
 
     async def _attempt_again(self) -> None:
@@ -118,8 +120,8 @@
         """Tell whether the read may be sent to another backend server as well.
 
         One that answers other reads in time and has nothing of this daemon in
-        work loses nothing.
-        While all are overloaded, the budget keeps reads from being doubled.
+        work loses nothing. While all are overloaded, the budget keeps reads
+        from being doubled.
         """
         telemetry, now = self._cluster.telemetry, self._runner.clock.now()
         if not member.in_work and member.record.is_timely(now):
--- a/monsoonproxy/writing.py
+++ b/monsoonproxy/writing.py
@@ -72,6 +72,7 @@
             answer = await _send(runner, job, lease)
             return answer and await _judge(runner, job, lease, answer)
     except NO_CONNECTION as exc:
+        attempt.wire = None
         job.session.may_run_until(getattr(exc, 'runs_until', 0))
         job.tried[member.server.server_id] = str(exc)
         if job.sent:
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator
 from unittest import mock
 
-from stand_ins.site import OWN, SERVICE, SiteStandIn
+from stand_ins.site import OWN, RECENT, SERVICE, SiteStandIn
 
 from monsoonproxy.clusters import Lease
 from monsoonproxy.floors import Floors
@@ -127,3 +127,27 @@
             assert not (await caller.run('READ a')).code
     assert events(platform_site.nodes, 'reads_hedged') >= 5
     assert not events(platform_site.nodes, 'hedges_denied')
+
+
+async def test_attempt_in_work_is_waited_for(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against a refusal while a replica is about to answer.
+
+    Pattern: the network is split with a read in work; by the time a second
+    attempt would be made, the last known position has become too old.
+    """
+    caller = await platform_site.caller(RECENT)
+    assert not (await caller.run('READ a')).code
+    runner = platform_site.nodes[0].catalog.runner(SERVICE)
+    assert runner is not None
+    cluster = runner.cluster
+    assert cluster.leader is not None
+    for database in platform_site.databases:
+        database.faults.work = 0.4
+    reading = asyncio.ensure_future(caller.run('READ a'))
+    await asyncio.sleep(0.02)
+    cluster.leader.is_cut_off = True
+    cluster.leader.borrowed.restrict(frozenset())
+    cluster.floors = Floors()
+    assert not (await reading).code
