--- a/monsoonproxy/members.py
+++ b/monsoonproxy/members.py
@@ -8,9 +8,10 @@
 from monsoonproxy.clock import Clock, Millis
 from monsoonproxy.dialects import Dialect
 from monsoonproxy.lanes import DirectLane, Lane
+from monsoonproxy.lenders import Links
 from monsoonproxy.models import Host
 from monsoonproxy.plans import Plan
-from monsoonproxy.remotes import Links, RemoteLane
+from monsoonproxy.remotes import RemoteLane
 from monsoonproxy.routes import ServiceRules
 from monsoonproxy.servers import Server
 from monsoonproxy.telemetry import Telemetry
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -12,6 +12,7 @@
 from monsoonproxy.gossip import FANOUT, Gossip
 from monsoonproxy.joining import Joiner
 from monsoonproxy.juries import Jury
+from monsoonproxy.lenders import Links
 from monsoonproxy.logs import log_for
 from monsoonproxy.members import Surroundings
 from monsoonproxy.models import Host
@@ -21,7 +22,6 @@
 from monsoonproxy.placement import Placement, ranked
 from monsoonproxy.promotion import Promoter
 from monsoonproxy.relays import Relay, wait_idle
-from monsoonproxy.remotes import Links
 from monsoonproxy.retirement import Retirement
 from monsoonproxy.servers import Server
 from monsoonproxy.stores import Documents, Store
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -12,10 +12,10 @@
 from monsoonproxy.clock import Clock
 from monsoonproxy.jobs import Session
 from monsoonproxy.lanes import Claim
+from monsoonproxy.lenders import Link
 from monsoonproxy.members import Member
 from monsoonproxy.node import Node
 from monsoonproxy.relays import RelayConnection
-from monsoonproxy.remotes import Link
 from tests.fixtures import fixture, load_functions
 from tests.platform_sites import running, runs, until
 
--- a/tests/test_remotes.py
+++ b/tests/test_remotes.py
@@ -9,7 +9,7 @@
 from monsoonproxy.clock import Clock
 from monsoonproxy.exceptions import PeerError
 from monsoonproxy.lanes import Claim
-from monsoonproxy.remotes import Link
+from monsoonproxy.lenders import Link
 from monsoonproxy.servers import Server
 from tests.fixtures import fixture, load_functions
 
