Plan connections again only after a change

Four times a second each daemon built the set of all hosts anew and adapted every lane of every database, though nothing had changed.

Now hosts are kept as one object each, with its hash, and connections are planned again after a change of the hosts, the plan or the news.

Ruled out: looking less often, since lapsed entries and the store's delegates are looked at in the same round.

--- a/emulator/ports.py
+++ b/emulator/ports.py
@@ -45,5 +45,8 @@
     while True:
         port = next(_ports)
         with socket.socket() as probe, contextlib.suppress(OSError):
+            # As the servers do; else ports with connections that have ended
+            # just now look taken, and the few others come round too soon.
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             probe.bind((HOST, port))
             return port
--- a/monsoonproxy/catalog.py
+++ b/monsoonproxy/catalog.py
@@ -179,10 +179,12 @@
         for server in self._servers.expire(self._shared.clock.now()):
             self._drop(server)
 
-    def replan(self, daemons: int) -> None:
+    def replan(self, daemons: int, *, is_changed: bool) -> None:
         """Decide again how connections are shared.
 
         :param daemons: Number of daemons, with this one.
+        :param is_changed: Whether these, or what is configured, are others
+            than before.
         """
         for name, runner in self.runners.items():
             cluster = runner.cluster
@@ -196,7 +198,8 @@
             if plan != before:
                 _log.info('{}: {} for {} daemons', name, plan, daemons)
             self._plans[name] = plan
-            cluster.replan(plan)
+            if is_changed or plan != cluster.plan:
+                cluster.replan(plan)
 
     def _start(self, name: str, rules: ServiceRules) -> None:
         cluster = Cluster(rules, self._shared)
--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -78,6 +78,8 @@
         self.on_doubt: Callable[[Cluster, str], None] = _ignore
         #: Looks for a leader.
         self.on_leaderless: Callable[[], None] = _do_nothing
+        #: How connections are shared; ``None`` if that is not known yet.
+        self.plan: Plan | None = None
         self.leaderless_since: Millis | None = None
         #: When a statement last waited for a leader.
         self.leader_wanted_at = Millis(0)
@@ -107,6 +109,7 @@
 
         :param plan: The new plan.
         """
+        self.plan = plan
         self._maker.plan = plan
         for member in self.members.values():
             self._maker.adapt(member, self.rules)
--- a/monsoonproxy/models.py
+++ b/monsoonproxy/models.py
@@ -104,7 +104,7 @@
     LEAVING = 'leaving'
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class Host:
     """An entry host.
 
--- a/monsoonproxy/neighbours.py
+++ b/monsoonproxy/neighbours.py
@@ -53,6 +53,17 @@
     stamp: int = 0
     follows: bool = False
     leaving: bool = False
+    _host: Host | None = None
+
+    @property
+    def host(self) -> Host:
+        """Return where it lends connections, as one object while it stays."""
+        host = self._host
+        place = (self.relay, self.zone)
+        if host is None or place != (host.address, host.availability_zone):
+            host = Host(*place)
+            self._host = host
+        return host
 
 
 class Neighbours:
@@ -249,7 +260,7 @@
             and now - known.listed_at < _LISTED_FOR
         )
         return frozenset(
-            Host(known.relay, known.zone)
+            known.host
             for known in (*self.alive(now), *listed)
             if known.relay and not known.leaving
         )
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -79,6 +79,8 @@
         self._started_at = clock.now()
         self._placement = Placement()
         self._hosts: frozenset[Host] = frozenset()
+        #: Whether connections are shared as the hosts and the latest news ask.
+        self._is_planned = False
         #: Who lends connections to a server, until the hosts change.
         self._lending: dict[tuple[str, int], tuple[Host, ...]] = {}
         self._links = Links(clock)
@@ -245,6 +247,7 @@
         else:
             told = self._neighbours.some(FANOUT, now)
         self._gossip.announce(told)
+        self._is_planned = False
         self._replan()
 
     def _lender_gone(self, relay: str) -> None:
@@ -259,6 +262,7 @@
         )
         hosts = self._neighbours.hosts(now) | {own}
         if hosts != self._hosts:
+            self._is_planned = False
             self._hosts = hosts
             self._placement.update(hosts)
             self._lending.clear()
@@ -266,7 +270,8 @@
             self._gossip.is_delegate = self._delegation.is_delegate
             self._retirement.is_delegate = self._delegation.is_delegate
         if self._joiner.has_list or now - self._started_at >= _PLAN_BY:
-            self.catalog.replan(len(hosts))
+            self.catalog.replan(len(hosts), is_changed=not self._is_planned)
+            self._is_planned = True
 
     async def _delegate(self) -> None:
         alive = self._neighbours.alive(self._clock.now())
