Take back what was noted of a leader after any end of its check

Cause: found when reading the change: a daemon that misses a leader while most others are silent is not ready, and an unexpected error in the check of the leader would have left it so for good.

Ruled out: a time limit on the note; the check itself knows when it ends.

--- a/monsoonproxy/members.py
+++ b/monsoonproxy/members.py
@@ -76,6 +76,12 @@
         self.answered_at = now
         self.silent_since = None
 
+    def reconnected(self) -> None:
+        """Forget that this daemon did not reach it while others may have."""
+        self.is_cut_off = False
+        self.is_apart = False
+        self.borrowed.restrict(None)
+
     def interrupt(self) -> None:
         """End all waits for connections; those go to another leader."""
         self.direct.interrupt()
--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -131,6 +131,14 @@
 
     async def _resolve(self, runner: Runner, member: Member) -> None:
         """Replace a missing leader, or wait until it is back."""
+        try:
+            await self._until_led(runner, member)
+        finally:
+            # Also after an unexpected error: a daemon that is apart is not
+            # ready.
+            member.reconnected()
+
+    async def _until_led(self, runner: Runner, member: Member) -> None:
         began = self._clock.now()
         pause: float = _RETRY_PAUSE
         while self._still_leads(runner.cluster, member):
@@ -143,9 +151,6 @@
                 break
             await asyncio.sleep(seconds(1) * pause)
             pause = min(_LONGEST_RETRY_PAUSE, pause * _RETRY_GROWTH)
-        member.is_cut_off = False
-        member.is_apart = False
-        member.borrowed.restrict(None)
 
     async def _carry_out(
         self, runner: Runner, member: Member, finding: Finding
--- a/tests/test_platform_failover.py
+++ b/tests/test_platform_failover.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from unittest import mock
 
 import attrs
 from stand_ins.site import CURRENT, SERVICE, SiteStandIn
@@ -164,3 +165,23 @@
     daemons = len(platform_site.nodes)
     probes = events(platform_site.nodes, 'probes') - before
     assert probes / daemons <= 2 * 26
+
+
+async def test_failed_check_leaves_nothing_behind(
+    larger_site: SiteStandIn,
+) -> None:
+    """Guards against a daemon that stays unready after an unexpected error.
+
+    Pattern: the check of a leader fails in the middle; nobody would take back
+    what it has noted about the leader.
+    """
+    node = larger_site.nodes[0]
+    runner = node.catalog.runners[SERVICE]
+    member = runner.cluster.members[larger_site.leader.server_id]
+    member.is_cut_off = True
+    member.is_apart = True
+    assert not node.ready
+    with mock.patch.object(node._promoter, '_judge', side_effect=LookupError):
+        node._promoter.doubt(runner.cluster, member.server.server_id)
+        await until(lambda: node.ready)
+    assert not member.is_cut_off
