Choose delegates only from a list that was read

The list was not read yet, since the store needs a second for the rows of 195 daemons, and each had heard fewer than 20 others: on a small site all are delegates.

Now delegates are chosen once the list was read, or a second after the start without it.

Ruled out: the patience of 2 s, which held for those that were no delegates; the settings (bootstrap is true at the first start).

Test: test_unread_list_is_no_small_site fails before.

--- a/monsoonproxy/joining.py
+++ b/monsoonproxy/joining.py
@@ -45,7 +45,9 @@
         gossip: Gossip,
         clock: Clock,
     ) -> None:
-        #: Whether the list of daemons was read, with this one in it.
+        #: Whether the list of daemons was read, and whether this one was in
+        #: it.
+        self.has_read = False
         self.has_list = False
         #: Is told whenever daemons were added to the known ones.
         self.on_list: Callable[[], Awaitable[None]] = _ignore
@@ -106,6 +108,7 @@
         rows = {row.key: row.content for row in listed.rows if row.content}
         for name, content in rows.items():
             self._add(name, notices.decode_listing(content))
+        self.has_read = True
         return rows
 
     async def _write(self, own: bytes) -> None:
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -79,6 +79,8 @@
         self._started_at = clock.now()
         self._placement = Placement()
         self._hosts: frozenset[Host] = frozenset()
+        #: The hosts that the delegates were chosen from.
+        self._delegated: frozenset[Host] = frozenset()
         #: Whether connections are shared as the hosts and the latest news ask.
         self._is_planned = False
         #: Who lends connections to a server, until the hosts change.
@@ -266,13 +268,25 @@
             self._hosts = hosts
             self._placement.update(hosts)
             self._lending.clear()
-            self._delegation.choose(hosts)
-            self._gossip.is_delegate = self._delegation.is_delegate
-            self._retirement.is_delegate = self._delegation.is_delegate
-        if self._joiner.has_list or now - self._started_at >= _PLAN_BY:
+        is_late = now - self._started_at >= _PLAN_BY
+        if self._joiner.has_read or is_late:
+            self._choose_delegates()
+        if self._joiner.has_list or is_late:
             self.catalog.replan(len(hosts), is_changed=not self._is_planned)
             self._is_planned = True
 
+    def _choose_delegates(self) -> None:
+        """Choose who follows the store, if the hosts are others than before.
+
+        Before the list was read, few daemons are known, and on a small site
+        all follow the store.
+        """
+        if self._delegated != self._hosts:
+            self._delegated = self._hosts
+            self._delegation.choose(self._hosts)
+            self._gossip.is_delegate = self._delegation.is_delegate
+            self._retirement.is_delegate = self._delegation.is_delegate
+
     async def _delegate(self) -> None:
         alive = self._neighbours.alive(self._clock.now())
         await self._delegation.adapt(alive)
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -153,3 +153,20 @@
         await until(lambda each=node: each.gauges()['daemons_alive'] == 7)
     assert site.platform.calls['/rows-get', 'daemons'] == 8
     await site.stop()
+
+
+async def test_unread_list_is_no_small_site() -> None:
+    """Guards against daemons that all follow the store at the first start.
+
+    Pattern: hundreds of daemons start at once; the store needs a second for
+    their rows, and until then each has heard only a few others.
+    """
+    site = SiteStandIn(daemons=0)
+    site.platform.faults.delay = 0.4
+    await site.start()
+    settings = attrs.evolve(site.settings('front-0'), first_start=True)
+    node = await site.add_node(settings)
+    await asyncio.sleep(0.6)
+    assert not site.platform.calls['/rows-get', 'op']
+    await until(lambda: node.ready)
+    await site.stop()
