--- a/monsoonproxy/catalog.py
+++ b/monsoonproxy/catalog.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from monsoonproxy.clock import Millis
 from monsoonproxy.clusters import Cluster
 from monsoonproxy.connection_plans import ConnectionPlan, make_plan
@@ -175,7 +177,7 @@
             server = self._decode(row.key, row.content)
             if server is not None:
                 listed.append(server)
-                self._servers.put(server)
+                _log_change(self._servers.put(server), server, row.version)
                 self._put_member(server)
         if whole:
             gone = self._servers.replace_all(
@@ -263,6 +265,19 @@
             runner.cluster.remove(server.server_id)
 
 
+def _log_change(old: Server | None, new: Server, version: int) -> None:
+    """Log an entry that tells something new about its backend server."""
+    if old is None or old != attrs.evolve(new, slow_for=old.slow_for):
+        _log.info(
+            'Backend server {} of {} is {}, {}; entry version {}',
+            new.server_id,
+            new.service,
+            new.role.value,
+            'leaving' if new.leaving else 'ready',
+            version,
+        )
+
+
 def _do_nothing() -> None:
     """Do nothing; the default until the node sets a callback."""
 
--- a/monsoonproxy/fencing_tokens.py
+++ b/monsoonproxy/fencing_tokens.py
@@ -119,9 +119,19 @@
         state = self._states.setdefault(service, _TokenState())
         entry = _Entry(self._name, self.newest(service) + 1, server_id)
         content = msgspec.json.encode(entry)
-        row = await self._write(service, content, state.version)
+        replaced = state.version
+        row = await self._write(service, content, replaced)
         found = self._record_row(service, row)
-        return entry.token if found == entry else None
+        if found != entry:
+            return None
+        _log.info(
+            'Claimed fencing token {} for {}: row version {} after {}',
+            entry.token,
+            service,
+            row.version,
+            replaced,
+        )
+        return entry.token
 
     async def _write(
         self, service: str, content: bytes, expected: int
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -160,6 +160,7 @@
             'connections_lent': self._relay.leases,
             'daemons_alive': len(self._peers.alive(self._clock.now())),
             'ready': int(self.ready),
+            'store_era': self._store.era,
         }
 
     async def run(self) -> None:
--- a/monsoonproxy/stores.py
+++ b/monsoonproxy/stores.py
@@ -58,6 +58,13 @@
     may still do so later if its condition holds then.
     """
 
+    @property
+    def era(self) -> int:
+        """Return the store's era in its last answer, 0 before any.
+
+        It rises each time the store is restored from an older copy.
+        """
+
     async def read(self, table: Table) -> TableRows:
         """Read a whole table.
 
