Compare versions of the store only within one era

What callers saw: nothing yet; a configuration or a draining backend server could be missed by every daemon until the next change (CONFIG, DRAIN).

Cause: a version was a plain number. A store that is restored gives the versions after its copy out again, so a feed from a known version skipped what had been written up to it in the new history, a long poll waited behind changes, and a conditional write could meet its condition by accident.

A Revision is now an era and a version. The store's client raises StoreRestoredError if an answer comes from another era than the revision that a call builds on, for feeds, pages of one read, conditional writes and removals. Followers then read the whole table; claims read all tokens again. The first call after a failure does not wait, because its answer shows the era, and a follower whose poll was not cut is started again once any answer shows a later era.

Ruled out: raising pauses or rereading tables at each lost connection, which costs every daemon a whole read at each outage, and leaves a poll that was not cut.

Tests that used plain versions use revisions; their checks are unchanged.

--- a/monsoonproxy/catalog.py
+++ b/monsoonproxy/catalog.py
@@ -22,7 +22,7 @@
     decompress_entries,
 )
 from monsoonproxy.statement_runner import StatementRunner
-from monsoonproxy.stores import Documents, StoreRow, TableRows
+from monsoonproxy.stores import Documents, Revision, StoreRow, TableRows
 
 _log = log_for('catalog')
 
@@ -110,11 +110,12 @@
         if snapshot.configuration:
             self.apply_configuration(decompress(snapshot.configuration))
         if snapshot.stamp > self._stamp:
+            revision = Revision(0, snapshot.stamp)
             rows = tuple(
-                StoreRow(key, content, snapshot.stamp)
+                StoreRow(key, content, revision)
                 for key, content in decompress_entries(snapshot.entries).items()
             )
-            changes = TableRows(rows, snapshot.stamp)
+            changes = TableRows(rows, revision)
             self.apply_server_rows(changes, whole=True, failed_at=Millis(0))
 
     def apply_configuration_row(self, changes: TableRows, _whole: bool) -> None:
@@ -167,7 +168,7 @@
         before = self._stamp
         self._compressed_entries = b''
         for row in changes.rows:
-            self._stamp = max(self._stamp, row.version)
+            self._stamp = max(self._stamp, row.revision.version)
             if row.content is None:
                 self._handle_removed_row(
                     row.key, now, was_unavailable=was_unavailable
@@ -177,7 +178,7 @@
             server = self._decode(row.key, row.content)
             if server is not None:
                 listed.append(server)
-                _log_change(self._servers.put(server), server, row.version)
+                _log_change(self._servers.put(server), server, row.revision)
                 self._put_member(server)
         if whole:
             gone = self._servers.replace_all(
@@ -265,16 +266,16 @@
             runner.cluster.remove(server.server_id)
 
 
-def _log_change(old: Server | None, new: Server, version: int) -> None:
+def _log_change(old: Server | None, new: Server, revision: Revision) -> None:
     """Log an entry that tells something new about its backend server."""
     if old is None or old != attrs.evolve(new, slow_for=old.slow_for):
         _log.info(
-            'Backend server {} of {} is {}, {}; entry version {}',
+            'Backend server {} of {} is {}, {}; entry from {}',
             new.server_id,
             new.service,
             new.role.value,
             'leaving' if new.leaving else 'ready',
-            version,
+            revision,
         )
 
 
--- a/monsoonproxy/delegation.py
+++ b/monsoonproxy/delegation.py
@@ -53,6 +53,7 @@
         self._update_deadline = (
             _FIRST_UPDATE_DEADLINE if settings.first_start else _UPDATE_DEADLINE
         )
+        self._store = store
         self._catalog = catalog
         self._supervisor = supervisor
         self._clock = clock
@@ -104,6 +105,9 @@
         if must and not self.is_delegate and self._may_wait(now):
             return
         for name, follower in self._followers.items():
+            if follower.is_outdated(self._store.era):
+                await self._supervisor.stop_child(name)
+                follower.reset()
             if must:
                 self._start(name, follower)
             else:
--- a/monsoonproxy/exceptions.py
+++ b/monsoonproxy/exceptions.py
@@ -48,6 +48,10 @@
     """The platform no longer has the changes since the requested version."""
 
 
+class StoreRestoredError(HistoryLostError):
+    """The store was restored from an older copy since a version was read."""
+
+
 class FencedError(PlatformError):
     """The platform refused an order, since its fencing token is outdated."""
 
--- a/monsoonproxy/fencing_tokens.py
+++ b/monsoonproxy/fencing_tokens.py
@@ -4,14 +4,16 @@
 import msgspec
 
 from monsoonproxy.clock import Millis
-from monsoonproxy.exceptions import PlatformError
+from monsoonproxy.exceptions import PlatformError, StoreRestoredError
 from monsoonproxy.logs import log_for
-from monsoonproxy.stores import Store, StoreRow, Table
+from monsoonproxy.stores import Revision, Store, StoreRow, Table
 
 _log = log_for('tokens')
 
 #: Attempts to write one claim if the store's answers are lost.
-_CLAIM_ATTEMPTS = 3
+_WRITE_ATTEMPTS = 3
+#: Attempts to claim a token if the store is restored meanwhile.
+_CLAIM_ATTEMPTS = 2
 
 
 class _Entry(msgspec.Struct):
@@ -31,13 +33,13 @@
 class _TokenState:
     """What a daemon knows about the tokens of one service.
 
-    :param version: Version of the last row seen.
+    :param revision: Revision of the row; version 0 if there is none.
     :param token: Greatest token seen in a row.
     :param announced: Greatest token that another daemon announced.
     :param announced_at: When that was announced, or ``None`` if never.
     """
 
-    version: int = 0
+    revision: Revision = Revision()
     token: int = 0
     announced: int = 0
     announced_at: Millis | None = None
@@ -57,7 +59,8 @@
         self._name = name
         self._store = store
         self._states: dict[str, _TokenState] = {}
-        self._loaded = False
+        #: Era in which the rows were read, ``None`` if they have to be read.
+        self._era: int | None = None
 
     def newest(self, service: str) -> int:
         """Return the greatest token seen in the store or announced.
@@ -75,7 +78,7 @@
         :param token: The token.
         :param now: The time.
         """
-        state = self._states.setdefault(service, _TokenState())
+        state = self._state(service)
         if token > self.newest(service):
             state.announced = token
             state.announced_at = now
@@ -97,14 +100,6 @@
             state.announced >= state.token and now - state.announced_at < within
         )
 
-    async def _load(self) -> None:
-        """Read the tokens in the store at the first claim."""
-        if not self._loaded:
-            changes = await self._store.read(Table.TOKENS)
-            for row in changes.rows:
-                self._record_row(row.key, row)
-            self._loaded = True
-
     async def claim(self, service: str, server_id: str) -> int | None:
         """Claim the next token of a service.
 
@@ -115,26 +110,47 @@
         :raises PlatformError: If the store does not answer. The token may have
             been claimed nevertheless, which does no harm.
         """
+        for _ in range(_CLAIM_ATTEMPTS - 1):
+            try:
+                return await self._claim(service, server_id)
+            except StoreRestoredError as exc:
+                # The row may be gone, and its version be given out again.
+                _log.info('Reading all fencing tokens again: {}', exc)
+                self._era = None
+        return await self._claim(service, server_id)
+
+    async def _claim(self, service: str, server_id: str) -> int | None:
         await self._load()
-        state = self._states.setdefault(service, _TokenState())
+        state = self._state(service)
         entry = _Entry(self._name, self.newest(service) + 1, server_id)
         content = msgspec.json.encode(entry)
-        replaced = state.version
+        replaced = state.revision
         row = await self._write(service, content, replaced)
         found = self._record_row(service, row)
         if found != entry:
             return None
         _log.info(
-            'Claimed fencing token {} for {}: row version {} after {}',
+            'Claimed fencing token {} for {}: row is {} after {}',
             entry.token,
             service,
-            row.version,
+            row.revision,
             replaced,
         )
         return entry.token
 
+    async def _load(self) -> None:
+        """Read the tokens in the store, at the first claim in an era."""
+        if self._era is not None:
+            return
+        changes = await self._store.read(Table.TOKENS)
+        self._era = changes.revision.era
+        for state in self._states.values():
+            state.revision = Revision(self._era)
+        for row in changes.rows:
+            self._record_row(row.key, row)
+
     async def _write(
-        self, service: str, content: bytes, expected: int
+        self, service: str, content: bytes, expected: Revision
     ) -> StoreRow:
         """Write a row, again if the answer is lost.
 
@@ -142,23 +158,29 @@
         store then returns the row, which names the daemon that wrote it.
         """
         problem = PlatformError('not tried')
-        for _ in range(_CLAIM_ATTEMPTS):
+        for _ in range(_WRITE_ATTEMPTS):
             try:
                 return await self._store.write(
                     Table.TOKENS, service, content, expected
                 )
+            except StoreRestoredError:
+                raise
             except PlatformError as exc:
                 _log.info('Fencing token claim for {} failed: {}', service, exc)
                 problem = exc
         raise problem
 
+    def _state(self, service: str) -> _TokenState:
+        unknown = _TokenState(Revision(self._era or 0))
+        return self._states.setdefault(service, unknown)
+
     def _record_row(self, service: str, row: StoreRow) -> _Entry:
-        state = self._states.setdefault(service, _TokenState())
+        state = self._state(service)
         try:
             found = msgspec.json.decode(row.content or b'{}', type=_Entry)
         except msgspec.MsgspecError as exc:
             _log.error('Fencing token row of {} is malformed: {}', service, exc)
             found = _Entry()
-        state.version = row.version
+        state.revision = row.revision
         state.token = max(state.token, found.token)
         return found
--- a/monsoonproxy/peer_cleanup.py
+++ b/monsoonproxy/peer_cleanup.py
@@ -125,7 +125,7 @@
         ]
 
     async def _remove(self, row: StoreRow) -> None:
-        if await self._store.remove(Table.DAEMONS, row.key, row.version):
+        if await self._store.remove(Table.DAEMONS, row.key, row.revision):
             _log.info(
                 'Removed the row of daemon {}: not alive for {} ms or more',
                 row.key,
--- a/monsoonproxy/stores.py
+++ b/monsoonproxy/stores.py
@@ -24,18 +24,38 @@
     TOKENS = 'tokens'
 
 
+@attrs.frozen(order=True)
+class Revision:
+    """A version of the store, or of a row in it.
+
+    A store that is restored from an older copy gives the versions after that
+    copy out again. Only versions of the same era tell which content is newer;
+    a later era replaces all earlier ones.
+
+    :param era: How often the store was restored, counted by the store.
+    :param version: Version within the era; 0 for no row.
+    """
+
+    era: int = 0
+    version: int = 0
+
+    def __str__(self) -> str:
+        """Return the revision as it stands in log lines."""
+        return f'version {self.version} of era {self.era}'
+
+
 @attrs.frozen
 class StoreRow:
     """A row of a table, or the removal of a row.
 
     :param key: Key of the row.
     :param content: Content of the row; ``None`` if it was removed.
-    :param version: Version of the row.
+    :param revision: When the row was written.
     """
 
     key: str
     content: bytes | None
-    version: int
+    revision: Revision
 
 
 @attrs.frozen
@@ -43,11 +63,11 @@
     """All rows of a table, or those that changed after some version.
 
     :param rows: The rows, in the store's order.
-    :param version: Version up to which the table is known.
+    :param revision: Up to when the table is known.
     """
 
     rows: tuple[StoreRow, ...]
-    version: int
+    revision: Revision
 
 
 class Store(Protocol):
@@ -69,31 +89,37 @@
         """Read a whole table.
 
         :param table: The table to read.
-        :returns: All rows, with the version of the table.
+        :returns: All rows, and up to when the table is known.
+        :raises StoreRestoredError: If the store was restored during the call.
         """
 
-    async def follow(self, table: Table, after: int, wait: Millis) -> TableRows:
+    async def follow(
+        self, table: Table, after: Revision, wait: Millis
+    ) -> TableRows:
         """Wait for changes of a table.
 
         :param table: The table.
-        :param after: Version up to which the caller knows the table.
+        :param after: Up to when the caller knows the table.
         :param wait: Maximum wait in ms.
         :returns: The changed rows; none if the wait ended without a change.
-        :raises HistoryLostError: If the store no longer has all changes after
-            that version.
+        :raises HistoryLostError: If the store no longer has all changes since
+            then, or was restored since.
         """
 
     async def write(
-        self, table: Table, key: str, content: bytes, expected: int
+        self, table: Table, key: str, content: bytes, expected: Revision
     ) -> StoreRow:
         """Write a row if its version is as expected.
 
         :param table: The table.
         :param key: Key of the row.
         :param content: New content.
-        :param expected: Version that the row must have; 0 for no row.
+        :param expected: Revision that the row must have; version 0 for no row.
         :returns: The row after the call: the written row, or the existing one
             if its version was not the expected one.
+        :raises StoreRestoredError: If the store was restored after
+            ``expected``. The row may have been written nevertheless: it may
+            have the same version again.
         """
 
     async def put(self, table: Table, key: str, content: bytes) -> None:
@@ -104,13 +130,15 @@
         :param content: New content.
         """
 
-    async def remove(self, table: Table, key: str, expected: int) -> bool:
+    async def remove(self, table: Table, key: str, expected: Revision) -> bool:
         """Remove a row if its version is as expected.
 
         :param table: The table.
         :param key: Key of the row.
-        :param expected: Version that the row must have.
+        :param expected: Revision that the row must have.
         :returns: Whether the row was removed.
+        :raises StoreRestoredError: If the store was restored after
+            ``expected``. The row may have been removed nevertheless.
         """
 
     async def promote(
--- a/monsoonproxy/table_followers.py
+++ b/monsoonproxy/table_followers.py
@@ -11,7 +11,7 @@
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.exceptions import HistoryLostError, PlatformError
 from monsoonproxy.logs import log_for
-from monsoonproxy.stores import Store, Table, TableRows
+from monsoonproxy.stores import Revision, Store, Table, TableRows
 
 _log = log_for('store')
 
@@ -48,7 +48,7 @@
         self._table = table
         self._handler = handler
         self._clock = clock
-        self._version: int | None = None
+        self._revision: Revision | None = None
 
     async def run(self) -> None:
         """Follow the table until cancelled, retrying after failed calls."""
@@ -57,35 +57,52 @@
             try:
                 await self._step()
                 pause = _FIRST_RETRY_PAUSE
-            except HistoryLostError:
+            except HistoryLostError as exc:
                 _log.info(
-                    'The store has no changes of {} since version {} any '
-                    'more; reading the whole table',
+                    'Changes of {} are lost; reading the whole table: {}',
                     self._table.value,
-                    self._version,
+                    exc,
                 )
-                self._version = None
+                self._revision = None
             except PlatformError as exc:
                 self._handle_failure(exc)
                 await asyncio.sleep(seconds(pause) * random.uniform(0.5, 1))
                 pause = min(_MAX_RETRY_PAUSE, pause * 2)
 
+    def is_outdated(self, era: int) -> bool:
+        """Tell whether the known revision is of an earlier era.
+
+        A long poll from such a revision may wait for changes although there
+        are some: the store may have given its version out again.
+
+        :param era: The store's era, from any of its answers.
+        :returns: Whether the table has to be read again.
+        """
+        return self._revision is not None and self._revision.era < era
+
+    def reset(self) -> None:
+        """Read the whole table next; must not be called while running."""
+        self._revision = None
+
     async def _step(self) -> None:
-        whole = self._version is None
-        if self._version is None:
+        whole = self._revision is None
+        if self._revision is None:
             changes = await self._store.read(self._table)
         else:
+            # The answer to the first call after a failure shows whether the
+            # store was restored meanwhile, so it must not wait for a change.
+            wait = _LONG_POLL_WAIT if self.connected else Millis(0)
             changes = await self._store.follow(
-                self._table, self._version, _LONG_POLL_WAIT
+                self._table, self._revision, wait
             )
         if not self.connected:
             self.connected = True
             _log.info(
-                'Following table {} from version {}',
+                'Following table {} from {}',
                 self._table.value,
-                changes.version,
+                changes.revision,
             )
-        self._version = changes.version
+        self._revision = changes.revision
         if whole or changes.rows:
             self._handler(changes, whole)
 
--- a/tests/test_fencing_tokens.py
+++ b/tests/test_fencing_tokens.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Iterator
 
+import attrs
+
 from monsoonproxy.clock import Millis
-from monsoonproxy.exceptions import PlatformError
+from monsoonproxy.exceptions import PlatformError, StoreRestoredError
 from monsoonproxy.fencing_tokens import FencingTokens
-from monsoonproxy.stores import StoreRow, Table, TableRows
+from monsoonproxy.stores import Revision, StoreRow, Table, TableRows
 from tests.fixtures import fixture, load_functions
 
 load_tests = load_functions(__name__)
@@ -15,24 +17,43 @@
 
 
 class _MemoryStore:
-    """A store of one row that can lose the answers to writes."""
+    """A store of one row that can lose the answers to writes.
+
+    It can also be restored from a copy: versions go back, and the row may get
+    one again that it had before.
+    """
 
     def __init__(self) -> None:
         self.lost_answers = 0
-        self._row = StoreRow(_SERVICE, None, 0)
+        self._era = 1
+        self._row = StoreRow(_SERVICE, None, Revision(1))
+
+    def copy(self) -> StoreRow:
+        """Return the row as it is now."""
+        return self._row
+
+    def restore(self, copy: StoreRow) -> None:
+        """Go back to an older row, in the next era."""
+        self._era += 1
+        self._row = attrs.evolve(
+            copy, revision=attrs.evolve(copy.revision, era=self._era)
+        )
 
     async def read(self, _table: Table) -> TableRows:
-        rows = (self._row,) if self._row.version else ()
-        return TableRows(rows, self._row.version)
+        rows = (self._row,) if self._row.revision.version else ()
+        return TableRows(rows, self._row.revision)
 
     async def write(
-        self, _table: Table, key: str, content: bytes, expected: int
+        self, _table: Table, key: str, content: bytes, expected: Revision
     ) -> StoreRow:
-        if self._row.version == expected:
-            self._row = StoreRow(key, content, expected + 1)
+        if self._row.revision.version == expected.version:
+            written = Revision(self._era, expected.version + 1)
+            self._row = StoreRow(key, content, written)
         if self.lost_answers:
             self.lost_answers -= 1
             raise PlatformError('no answer')
+        if expected.era != self._era:
+            raise StoreRestoredError('restored')
         return self._row
 
 
--- a/tests/test_peer_cleanup.py
+++ b/tests/test_peer_cleanup.py
@@ -10,7 +10,7 @@
 from monsoonproxy.clock import Clock, Millis
 from monsoonproxy.peer_cleanup import CleanupRules, PeerCleanup
 from monsoonproxy.peer_list import PeerList
-from monsoonproxy.stores import StoreRow, Table, TableRows
+from monsoonproxy.stores import Revision, StoreRow, Table, TableRows
 from tests.fixtures import fixture, load_functions
 
 load_tests = load_functions(__name__)
@@ -50,18 +50,18 @@
 
     async def read(self, table: Table) -> TableRows:
         """Return all rows, then write those that are due after a read."""
-        changes = TableRows(tuple(self.rows.values()), 1)
+        changes = TableRows(tuple(self.rows.values()), Revision(1, 1))
         for name in self.written_after_read:
             await self.put(table, name, b'y')
         return changes
 
     async def put(self, _table: Table, key: str, content: bytes) -> None:
         """Write a row as version 2."""
-        self.rows[key] = StoreRow(key, content, 2)
+        self.rows[key] = StoreRow(key, content, Revision(1, 2))
 
-    async def remove(self, _table: Table, key: str, expected: int) -> bool:
+    async def remove(self, _table: Table, key: str, expected: Revision) -> bool:
         """Remove a row if its version is as expected."""
-        if self.rows[key].version != expected:
+        if self.rows[key].revision != expected:
             return False
         self.rows.pop(key)
         return True
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -87,6 +87,28 @@
     await wait_until(lambda: _all_see_leaving(site, 'db-1'), _DRAIN_LIMIT)
 
 
+async def test_restored_store_ends_waiting_polls(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against a change that a long poll does not return (CONFIG).
+
+    The store is restored without cutting the poll, and its versions rise to
+    the one that the poll waits after.
+    """
+    site = platform_site
+    copy = site.platform.copy()
+    for version in (2, 3, 4):
+        site.platform.configure(configuration(version))
+    await _wait_for_version(site, 4)
+    await asyncio.sleep(0.1)
+    site.platform.restore(copy, cuts_polls=False)
+    site.platform.configure(configuration(8))
+    site.platform.write_entry(site.databases[1])
+    site.platform.put('elsewhere', 'key', b'')
+    assert site.platform.version == copy.version + 3
+    await _wait_for_version(site, 8)
+
+
 @fixture
 async def delegating_site() -> AsyncIterator[SiteStandIn]:
     """Yield a site where three of six daemons follow the store."""
