Change the row once in the test of a change between pages

It changed the row after each page, also after the last one, and the feed returned that last change.

The test now changes the row once, after the first page, and expects exactly that change from the feed, which is stricter.

--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -114,21 +114,25 @@
 async def test_change_between_pages(storage: _Storage) -> None:
     """Guards against a change that neither the pages nor the feed return.
 
-    A row of the first page is written while the second one is read; on large
+    A row of the first page is written before the second one is read; on large
     sites the table of servers has several pages.
     """
+    changes_left = [b'two']
+
+    def change_once() -> None:
+        if changes_left:
+            storage.server.put('daemons', 'd0', changes_left.pop())
+
     with (
         mock.patch.object(store_module, '_PAGE_SIZE', 2),
-        _after_page(
-            storage, lambda: storage.server.put('daemons', 'd0', b'two')
-        ),
+        _after_page(storage, change_once),
     ):
         read = await storage.client.read(Table.DAEMONS)
     assert {row.content for row in read.rows} == {b'one'}
     changes = await storage.client.follow(
         Table.DAEMONS, read.revision, _NO_WAIT
     )
-    assert changes.rows[-1].content == b'two'
+    assert [row.content for row in changes.rows] == [b'two']
 
 
 def _after_page(storage: _Storage, act: Callable[[], None]) -> Any:
