Derive fencing tokens from the era and version of the replaced row

Cause: the next token was the greatest one in the stored row, or announced, plus one. A store that comes back from a copy without the row starts again at 1 once the processes that remember the token have ended. The class of fault: a number that must never repeat was derived from content that can go back.

A token now consists of the era and the version of the row that the claim replaces, version 0 if there is none. A row of one version can be replaced only once in an era, whatever it holds, and a claim that is answered in another era is no claim. So tokens are distinct and grow also after the row is lost, or replaced by a claim that is carried out late.

Ruled out: tokens from the clock (clocks of hosts jump); terms of the databases (a claimed token may never be carried out); asking peers (all that remember may be killed).

--- a/monsoonproxy/fencing_tokens.py
+++ b/monsoonproxy/fencing_tokens.py
@@ -14,6 +14,9 @@
 _WRITE_ATTEMPTS = 3
 #: Attempts to claim a token if the store is restored meanwhile.
 _CLAIM_ATTEMPTS = 2
+#: Bits of a token for the version within an era. Versions last for years at
+#: thousands of transactions per second.
+_VERSION_BITS = 40
 
 
 class _Entry(msgspec.Struct):
@@ -49,7 +52,8 @@
     """Claims fencing tokens in the store.
 
     A token belongs to one promotion order of one daemon. Greater tokens belong
-    to later orders, since each is claimed by a conditional write.
+    to later orders: a token consists of era and version of the row that its
+    claim replaced, and a row of one version can be replaced only once.
 
     :param name: Name of the daemon.
     :param store: The store.
@@ -122,7 +126,9 @@
     async def _claim(self, service: str, server_id: str) -> int | None:
         await self._load()
         state = self._state(service)
-        entry = _Entry(self._name, self.newest(service) + 1, server_id)
+        least = _least_token(state.revision)
+        token = max(least, self.newest(service) + 1)
+        entry = _Entry(self._name, token, server_id)
         content = msgspec.json.encode(entry)
         replaced = state.revision
         row = await self._write(service, content, replaced)
@@ -184,3 +190,15 @@
         state.revision = row.revision
         state.token = max(state.token, found.token)
         return found
+
+
+def _least_token(replaced: Revision) -> int:
+    """Return a token that no other claim has.
+
+    The token in the row does not suffice: the row may be missing after a
+    restore of the store, or hold a claim that was carried out late.
+
+    :param replaced: Revision of the row that the claim replaces.
+    :returns: The token; at least 1.
+    """
+    return (replaced.era << _VERSION_BITS) + replaced.version + 1
--- a/tests/test_fencing_tokens.py
+++ b/tests/test_fencing_tokens.py
@@ -25,8 +25,8 @@
 
     def __init__(self) -> None:
         self.lost_answers = 0
-        self._era = 1
-        self._row = StoreRow(_SERVICE, None, Revision(1))
+        self._era = 0
+        self._row = StoreRow(_SERVICE, None, Revision())
 
     def copy(self) -> StoreRow:
         """Return the row as it is now."""
@@ -95,6 +95,59 @@
     assert await tokens.claim(_SERVICE, 'db-1') == 8
 
 
+async def test_restored_store_gives_no_token_out_again(
+    store: _MemoryStore,
+) -> None:
+    """Guards against a token that two promotions are ordered with (ONE).
+
+    The store comes back without the row, and the daemon that claims next has
+    just started.
+    """
+    copy = store.copy()
+    before = [await _tokens('front-0', store).claim(_SERVICE, 'db-1')]
+    before.append(await _tokens('front-1', store).claim(_SERVICE, 'db-2'))
+    store.restore(copy)
+    after = await _tokens('front-2', store).claim(_SERVICE, 'db-1')
+    assert after is not None
+    assert after > max(token for token in before if token is not None)
+
+
+async def test_reused_version_wins_no_claim(store: _MemoryStore) -> None:
+    """Guards against two daemons that win one claim after a restore (ONE).
+
+    A daemon claims with the version that it saw before the restore, and the
+    row has that version again.
+    """
+    copy = store.copy()
+    tokens = [_tokens(f'front-{number}', store) for number in range(3)]
+    assert await tokens[0].claim(_SERVICE, 'db-1')
+    store.restore(copy)
+    first = await tokens[1].claim(_SERVICE, 'db-1')
+    assert store.copy().revision.version == 1
+    second = await tokens[0].claim(_SERVICE, 'db-2')
+    third = await tokens[2].claim(_SERVICE, 'db-1')
+    assert first and second and third
+    assert first < second < third
+
+
+async def test_delayed_claim_of_earlier_era(store: _MemoryStore) -> None:
+    """Guards against a token derived from a claim that was carried out late.
+
+    A claim from before the restore replaces a newer row; the next token must
+    be greater than all that were claimed in the era.
+    """
+    empty = store.copy()
+    await _tokens('front-0', store).claim(_SERVICE, 'db-1')
+    late = store.copy().content
+    assert late is not None
+    store.restore(empty)
+    latest = await _tokens('front-1', store).claim(_SERVICE, 'db-1')
+    await store.write(Table.TOKENS, _SERVICE, late, store.copy().revision)
+    found = await _tokens('front-2', store).claim(_SERVICE, 'db-2')
+    assert latest and found
+    assert found > latest
+
+
 def test_recent_claim_of_peer() -> None:
     """Guards against a second promotion while a peer's is under way."""
     tokens = _tokens('front-0', _MemoryStore())
