Tell peers the era of the entries that a daemon has

What callers would see: requests at a backend server that is leaving, through daemons that do not follow the store (DRAIN). On sites of more than 20 daemons that is most of them.

Cause: daemons compared the entries that they have by plain versions.

Entries that were read before a restore are ignored once newer ones are known. A delegate whose poll was not cut starts its follower again when it hears of a later era from a peer.

The earlier release ignores the new field, and its messages count as era 0. Once a daemon knows an era it would ignore what such peers tell, so they no longer count as informants, and it follows the store itself during an upgrade.

The pins of tests/test_message_tags.py have the new last fields; all others stay.

--- a/monsoonproxy/catalog.py
+++ b/monsoonproxy/catalog.py
@@ -52,9 +52,9 @@
         self._shared = shared
         self._servers = ServerList()
         self._plans: dict[str, ConnectionPlan] = {}
-        #: The entries as stored, by identity, and their version.
+        #: The entries as stored, by identity, and up to when they are known.
         self._entries: dict[str, bytes] = {}
-        self._stamp = 0
+        self._revision = Revision()
         #: The compressed configuration in force, and the compressed entries
         #: once a peer has fetched them.
         self._compressed_configuration = b''
@@ -79,12 +79,12 @@
             leader is not None and leader.is_partitioned for leader in leaders
         )
 
-    def versions(self) -> tuple[int, int]:
-        """Return the versions of the configuration and of the entries.
+    def versions(self) -> tuple[int, Revision]:
+        """Return version of the configuration and revision of the entries.
 
-        :returns: The two versions; 0 for what is not known yet.
+        :returns: Both; version 0 for what is not known yet.
         """
-        return self.table.version if self.table else 0, self._stamp
+        return self.table.version if self.table else 0, self._revision
 
     def newer_than(self, request: SnapshotRequest) -> Snapshot:
         """Return what is newer than the versions that a peer has.
@@ -95,11 +95,14 @@
         configuration = b''
         if self.table is not None and self.table.version > request.version:
             configuration = self._compressed_configuration
-        if self._stamp <= request.stamp:
+        known = self._revision
+        if known <= request.revision:
             return Snapshot(configuration)
         if not self._compressed_entries:
             self._compressed_entries = compress_entries(self._entries)
-        return Snapshot(configuration, self._stamp, self._compressed_entries)
+        return Snapshot(
+            configuration, known.version, self._compressed_entries, known.era
+        )
 
     def apply(self, snapshot: Snapshot) -> None:
         """Apply the newer parts of a snapshot from a peer.
@@ -109,8 +112,8 @@
         """
         if snapshot.configuration:
             self.apply_configuration(decompress(snapshot.configuration))
-        if snapshot.stamp > self._stamp:
-            revision = Revision(0, snapshot.stamp)
+        revision = snapshot.revision
+        if revision > self._revision:
             rows = tuple(
                 StoreRow(key, content, revision)
                 for key, content in decompress_entries(snapshot.entries).items()
@@ -162,31 +165,29 @@
             without one are removed.
         :param failed_at: When the store last failed, or 0.
         """
+        if changes.revision.era < self._revision.era:
+            # Read from the store before it was restored; peers have told newer
+            # entries since.
+            return
         now = self._shared.clock.now()
         was_unavailable = failed_at > 0 and now - failed_at < _LAPSE_WINDOW
-        listed = []
-        before = self._stamp
+        before = self._revision
         self._compressed_entries = b''
-        for row in changes.rows:
-            self._stamp = max(self._stamp, row.revision.version)
-            if row.content is None:
-                self._handle_removed_row(
-                    row.key, now, was_unavailable=was_unavailable
-                )
-                continue
-            self._entries[row.key] = row.content
-            server = self._decode(row.key, row.content)
-            if server is not None:
-                listed.append(server)
-                _log_change(self._servers.put(server), server, row.revision)
-                self._put_member(server)
+        found = [
+            self._apply_row(row, now, was_unavailable=was_unavailable)
+            for row in changes.rows
+        ]
         if whole:
+            # The first read of an era is newer than all before, even if the
+            # restored store holds no entry.
+            self._revision = max(self._revision, Revision(changes.revision.era))
+            listed = [server for server in found if server is not None]
             gone = self._servers.replace_all(
                 listed, now, was_unavailable=was_unavailable
             )
             for missing in gone:
                 self._remove_server(missing)
-        if self._stamp > before:
+        if self._revision > before:
             self.on_update()
 
     def expire(self) -> None:
@@ -228,6 +229,23 @@
         for server in self._servers.of(name):
             cluster.put(server)
 
+    def _apply_row(
+        self, row: StoreRow, now: Millis, *, was_unavailable: bool
+    ) -> Server | None:
+        """Apply one entry; return it unless it is malformed or removed."""
+        self._revision = max(self._revision, row.revision)
+        if row.content is None:
+            self._handle_removed_row(
+                row.key, now, was_unavailable=was_unavailable
+            )
+            return None
+        self._entries[row.key] = row.content
+        server = self._decode(row.key, row.content)
+        if server is not None:
+            _log_change(self._servers.put(server), server, row.revision)
+            self._put_member(server)
+        return server
+
     def _decode(self, key: str, content: bytes) -> Server | None:
         try:
             return self._documents.server(key, content)
--- a/monsoonproxy/delegate_selection.py
+++ b/monsoonproxy/delegate_selection.py
@@ -46,6 +46,7 @@
     delegates: frozenset[str],
     alive: Iterable[Peer],
     now: Millis,
+    era: int = 0,
 ) -> bool:
     """Decide whether this daemon follows the store itself.
 
@@ -53,8 +54,10 @@
     :param delegates: Relay addresses of the delegates.
     :param alive: The live peers.
     :param now: Current time.
+    :param era: Era of the store that this daemon has entries of.
     :returns: Whether it is a delegate, or hears too few peers that follow the
-        store.
+        store. Peers of an earlier release, which know no eras, don't count
+        once this daemon knows one: their entries would be taken for older.
     """
     if own in delegates:
         return True
@@ -62,6 +65,7 @@
         peer
         for peer in alive
         if peer.follows
+        and (peer.entries.era or not era)
         and peer.heard_at is not None
         and now - peer.heard_at < _HEARD_WITHIN
     ]
--- a/monsoonproxy/delegation.py
+++ b/monsoonproxy/delegation.py
@@ -13,7 +13,7 @@
 from monsoonproxy.models import Host
 from monsoonproxy.node_settings import NodeSettings
 from monsoonproxy.peer_list import Peer
-from monsoonproxy.stores import Store, Table, TableRows
+from monsoonproxy.stores import Revision, Store, Table, TableRows
 from monsoonproxy.supervisors import Supervisor
 from monsoonproxy.table_followers import TableFollower
 
@@ -99,13 +99,15 @@
         :param alive: The live peers.
         """
         now = self._clock.now()
+        _version, entries = self._catalog.versions()
         must = delegate_selection.must_follow(
-            self._own, self._chosen, alive, now
+            self._own, self._chosen, alive, now, entries.era
         )
         if must and not self.is_delegate and self._may_wait(now):
             return
+        era = max(self._store.era, entries.era)
         for name, follower in self._followers.items():
-            if follower.is_outdated(self._store.era):
+            if follower.is_outdated(era):
                 await self._supervisor.stop_child(name)
                 follower.reset()
             if must:
@@ -129,7 +131,8 @@
 
     def _may_wait(self, now: Millis) -> bool:
         """Tell whether to wait for updates and presences of delegates."""
-        has_all = all(self._catalog.versions())
+        version, entries = self._catalog.versions()
+        has_all = version > 0 and entries > Revision()
         limit = _DELEGATES_DEADLINE if has_all else self._update_deadline
         return now - self._started_at < limit
 
--- a/monsoonproxy/gossip.py
+++ b/monsoonproxy/gossip.py
@@ -126,7 +126,7 @@
         :param receivers: The peers.
         """
         own = self._own
-        version, stamp = self._snapshots.versions()
+        version, entries = self._snapshots.versions()
         presence = gossip_messages.Presence(
             own.name,
             own.address,
@@ -134,9 +134,10 @@
             own.zone,
             own.started,
             version,
-            stamp,
+            entries.version,
             self.follows(),
             self.leaving,
+            entries.era,
         )
         self.send(presence, *(peer.address for peer in receivers))
 
@@ -188,15 +189,15 @@
             return
         if self._is_ahead(peer):
             self._fetch(peer)
-        version, stamp = self._snapshots.versions()
-        is_behind = peer.version < version or peer.stamp < stamp
+        version, entries = self._snapshots.versions()
+        is_behind = peer.version < version or peer.entries < entries
         if is_behind or (is_new and len(self.peers) <= _ANSWER_NEW_UP_TO):
             # The peer learns of this daemon or of the newer versions here.
             self.announce((peer,))
 
     def _is_ahead(self, peer: Peer) -> bool:
-        version, stamp = self._snapshots.versions()
-        return peer.version > version or peer.stamp > stamp
+        version, entries = self._snapshots.versions()
+        return peer.version > version or peer.entries > entries
 
     def _fetch(self, peer: Peer) -> None:
         if peer.zone == self._own.zone:
@@ -209,7 +210,7 @@
             self._fetching = loop.create_task(self._fetch_newer())
 
     async def _fetch_newer(self) -> None:
-        version, _stamp = self._snapshots.versions()
+        version, _entries = self._snapshots.versions()
         if version:
             # A daemon without a configuration can't serve, so it doesn't wait
             # for a peer in its own zone.
--- a/monsoonproxy/gossip_messages.py
+++ b/monsoonproxy/gossip_messages.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from monsoonproxy.stores import Revision
+
 _LAST_PORT = 65_535
 
 
@@ -33,6 +35,7 @@
     :param stamp: Version of the backend servers' entries that it has.
     :param follows: Whether it follows the store.
     :param leaving: Whether it is shutting down.
+    :param era: Era of the store that ``stamp`` belongs to.
     """
 
     address: str
@@ -43,6 +46,12 @@
     stamp: int
     follows: bool
     leaving: bool = False
+    era: int = 0
+
+    @property
+    def revision(self) -> Revision:
+        """Return the revision of the entries that the sender has."""
+        return Revision(self.era, self.stamp)
 
 
 class ReachabilityQuery(_GossipMessage, frozen=True, tag='Question'):
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -152,7 +152,7 @@
 
         :returns: Values by name of the gauge.
         """
-        version, _stamp = self.catalog.versions()
+        version, _entries = self.catalog.versions()
         return {
             'callers': len(self._clients.connections),
             'callers_busy': self._clients.busy,
@@ -249,7 +249,7 @@
         now = self._clock.now()
         if self._delegation.is_delegate:
             own = self._own_peer()
-            own.version, own.stamp = self.catalog.versions()
+            own.version, own.entries = self.catalog.versions()
             receivers = self._peers.outdated(own, _OUTDATED_FANOUT, now)
         else:
             receivers = self._peers.sample_alive(FANOUT, now)
--- a/monsoonproxy/peer_list.py
+++ b/monsoonproxy/peer_list.py
@@ -12,6 +12,7 @@
 from monsoonproxy.clock import Millis
 from monsoonproxy.gossip_messages import Listing, Presence
 from monsoonproxy.models import Host
+from monsoonproxy.stores import Revision
 
 #: Presences that a daemon sends per second at most, 100 bytes each. They need
 #: not be frequent: updates are sent at once, and a failed lender is detected
@@ -42,7 +43,7 @@
     :param listed_at: When it was read from the store's list; ``None`` if it
         was not, or was suspected since.
     :param version: Version of the configuration that it has.
-    :param stamp: Version of the backend servers' entries that it has.
+    :param entries: Revision of the backend servers' entries that it has.
     :param follows: Whether it follows the store.
     :param leaving: Whether it is shutting down.
     """
@@ -55,7 +56,7 @@
     heard_at: Millis | None = None
     listed_at: Millis | None = None
     version: int = 0
-    stamp: int = 0
+    entries: Revision = Revision()
     follows: bool = False
     leaving: bool = False
     _host: Host | None = None
@@ -151,7 +152,7 @@
         peer.zone = presence.zone
         peer.started = presence.started
         peer.version = presence.version
-        peer.stamp = presence.stamp
+        peer.entries = presence.revision
         peer.follows = presence.follows
         peer.leaving = presence.leaving
         peer.heard_at = now
@@ -220,7 +221,7 @@
         outdated = [
             peer
             for peer in self.alive(now)
-            if peer.version < own.version or peer.stamp < own.stamp
+            if peer.version < own.version or peer.entries < own.entries
         ]
         self._rng.shuffle(outdated)
         outdated.sort(key=lambda peer: peer.zone != own.zone)
--- a/monsoonproxy/snapshots.py
+++ b/monsoonproxy/snapshots.py
@@ -13,6 +13,7 @@
 
 from monsoonproxy.clock import Millis, seconds
 from monsoonproxy.exceptions import PeerError
+from monsoonproxy.stores import Revision
 
 #: Time limit in ms of fetching a snapshot.
 _TIMEOUT = Millis(1_500)
@@ -29,10 +30,17 @@
 
     :param version: Version of the sender's configuration.
     :param stamp: Version of the sender's entries of backend servers.
+    :param era: Era of the store that ``stamp`` belongs to.
     """
 
     version: int
     stamp: int
+    era: int = 0
+
+    @property
+    def revision(self) -> Revision:
+        """Return the revision of the sender's entries."""
+        return Revision(self.era, self.stamp)
 
 
 class Snapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -42,11 +50,18 @@
         receiver's is as new.
     :param stamp: Version of the entries, or 0 if there are none.
     :param entries: All entries, from :func:`compress_entries`.
+    :param era: Era of the store that ``stamp`` belongs to.
     """
 
     configuration: bytes = b''
     stamp: int = 0
     entries: bytes = b''
+    era: int = 0
+
+    @property
+    def revision(self) -> Revision:
+        """Return the revision of the entries."""
+        return Revision(self.era, self.stamp)
 
 
 def compress(document: bytes) -> bytes:
@@ -105,8 +120,8 @@
 class SnapshotStore(Protocol):
     """Configuration and entries of a daemon, as its peers fetch them."""
 
-    def versions(self) -> tuple[int, int]:
-        """Return the versions of the configuration and of the entries."""
+    def versions(self) -> tuple[int, Revision]:
+        """Return version of the configuration and revision of the entries."""
 
     def newer_than(self, request: SnapshotRequest) -> Snapshot:
         """Return what is newer than the versions of a request."""
@@ -152,7 +167,10 @@
     :raises PeerError: If the peer does not answer in time, or what it sends
         can't be decoded.
     """
-    request = msgspec.msgpack.encode(SnapshotRequest(*snapshots.versions()))
+    version, known = snapshots.versions()
+    request = msgspec.msgpack.encode(
+        SnapshotRequest(version, known.version, known.era)
+    )
     try:
         async with asyncio.timeout(seconds(_TIMEOUT)):
             answer = await _call(address, request)
--- a/tests/test_connection_plans.py
+++ b/tests/test_connection_plans.py
@@ -5,6 +5,7 @@
 from monsoonproxy.delegate_selection import choose_delegates, must_follow
 from monsoonproxy.models import Host
 from monsoonproxy.peer_list import Peer
+from monsoonproxy.stores import Revision
 from monsoonproxy.routes import ServiceRules
 from tests.fixtures import load_functions
 
@@ -87,12 +88,15 @@
     assert len(zones) == 3
 
 
-def _peer(number: int, *, heard: int, follows: bool = True) -> Peer:
+def _peer(
+    number: int, *, heard: int, follows: bool = True, era: int = 0
+) -> Peer:
     return Peer(
         f'front-{number}',
         f'10.0.0.{number}:8000',
         f'10.0.0.{number}:7000',
         heard_at=Millis(heard),
+        entries=Revision(era, 9),
         follows=follows,
     )
 
@@ -114,3 +118,17 @@
     assert must_follow('own', delegates, turned_away, _NOW)
     own = next(iter(delegates))
     assert must_follow(own, delegates, fresh, _NOW)
+
+
+def test_delegates_of_earlier_release() -> None:
+    """Guards against a daemon whose informants know no eras (DRAIN).
+
+    Pattern: an upgrade one by one, with all delegates still of the earlier
+    release. This daemon takes what they tell for older than what it has.
+    """
+    delegates = choose_delegates(_hosts(113))
+    earlier = [_peer(n, heard=_NOW - 1_000) for n in range(12)]
+    assert must_follow('own', delegates, earlier, _NOW, era=1)
+    # A delegate that has not noticed a restore yet is about to.
+    behind = [_peer(n, heard=_NOW - 1_000, era=1) for n in range(3)]
+    assert not must_follow('own', delegates, behind, _NOW, era=2)
--- a/tests/test_message_tags.py
+++ b/tests/test_message_tags.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from monsoonproxy import gossip_messages, messages, relay_messages, snapshots
+from monsoonproxy.stores import Revision
 from tests.fixtures import load_functions
 
 load_tests = load_functions(__name__)
@@ -21,7 +22,9 @@
 _VALUES = 'dict[bytes, bytes]'
 
 _NOTICES = {
-    'Presence': ('[str, str, str, str, int, int, int, bool, bool = False]'),
+    'Presence': (
+        '[str, str, str, str, int, int, int, bool, bool = False, int = 0]'
+    ),
     'Question': '[str, int, str, str]',
     'Opinion': '[str, int, bool | None]',
     'Succession': '[str, str, str, int]',
@@ -65,7 +68,10 @@
     'StatusRequest': "[int, str = 'status']",
     'StatusReply': '[int, bytes]',
 }
-_SNAPSHOTS = ["[bytes = b'', int = 0, bytes = b'']", '[int, int]']
+_SNAPSHOTS = [
+    "[bytes = b'', int = 0, bytes = b'', int = 0]",
+    '[int, int, int = 0]',
+]
 
 
 def _structs(module: types.ModuleType) -> list[type[msgspec.Struct]]:
@@ -143,6 +149,37 @@
     )
 
 
+class _EarlierPresence(
+    msgspec.Struct, frozen=True, tag='Presence', array_like=True
+):
+    """A presence as the release before eras of the store decodes it."""
+
+    sender: str
+    address: str
+    relay: str
+    zone: str
+    started: int
+    version: int
+    stamp: int
+    follows: bool
+    leaving: bool = False
+
+
+def test_presence_of_other_release() -> None:
+    """Guards against a rolling upgrade in which daemons don't hear each other.
+
+    The earlier release knows no eras of the store.
+    """
+    earlier = _EarlierPresence(
+        'd', '10.0.0.1:1', '10.0.0.1:2', 'z', 1, 2, 3, follows=True
+    )
+    now = gossip_messages.decode(msgspec.msgpack.encode(earlier))
+    assert isinstance(now, gossip_messages.Presence)
+    assert now.revision == Revision(0, 3)
+    sent = gossip_messages.encode(msgspec.structs.replace(now, era=7))
+    assert msgspec.msgpack.decode(sent, type=_EarlierPresence) == earlier
+
+
 def test_gossip_messages() -> None:
     """Guards against gossip that daemons of the earlier release discard.
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -14,7 +14,7 @@
 
 from monsoonproxy import delegate_selection
 from monsoonproxy.members import Member
-from monsoonproxy.node import Node
+from monsoonproxy.stores import Revision
 from tests.fixtures import fixture, load_functions
 from tests.platform_sites import (
     config_version,
@@ -135,14 +135,14 @@
     copy = site.platform.copy()
     for _ in range(8):
         site.platform.write_entry(site.databases[2])
-    newest = site.platform.version
+    newest = Revision(site.platform.era, site.platform.version)
     await wait_until(
-        lambda: all(_entries_version(node) == newest for node in site.nodes)
+        lambda: all(node.catalog.versions()[1] == newest for node in site.nodes)
     )
     site.platform.restore(copy)
     await asyncio.sleep(_REWRITE_TIME)
     _drain(site, site.databases[1])
-    assert site.platform.version < newest
+    assert site.platform.version < newest.version
     await wait_until(lambda: _all_see_leaving(site, 'db-1'), _DRAIN_LIMIT)
 
 
@@ -318,10 +318,6 @@
     )
 
 
-def _entries_version(node: Node) -> int:
-    return node.catalog.versions()[1]
-
-
 def _followers(site: SiteStandIn) -> int:
     """Return how many daemons follow the store."""
     return sum('servers' in node._supervisor.children() for node in site.nodes)
