Keep back entries of a restored store that are older than known ones

What callers would see: new work at a backend server that is about to leave, refused connections at one that has left (DRAIN).

Cause: a daemon took each entry that it read for the latest. A copy holds entries from before their writers changed or left.

For 6 s after a daemon notices a restore, an entry does not replace a newer one of the same backend server, by its start and the number of the entry, nor bring back a removed one. In that time live servers write again (2 s) and the store drops the entries of the others (three intervals of 1.2 s). What the store holds then is used, so that a server whose entry is not written again, because it has nothing new to say, is not lost. Entries that are missing in the copy are kept for 2.5 s as after an outage, also at daemons that saw none. Entries keep their stored form, which replaces a second table in the catalog.

Ruled out: comparing numbers of entries at all times (a clock that is set back would hide a restarted server for good); trusting only peers (a lone daemon).

Not covered: a daemon that starts after the restore has nothing to compare with and may use such an entry until the store drops it, 3.6 s later at most.

--- a/monsoonproxy/catalog.py
+++ b/monsoonproxy/catalog.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable
 
-import attrs
-
 from monsoonproxy.clock import Millis
 from monsoonproxy.clusters import Cluster
 from monsoonproxy.connection_plans import ConnectionPlan, make_plan
@@ -52,8 +50,7 @@
         self._shared = shared
         self._servers = ServerList()
         self._plans: dict[str, ConnectionPlan] = {}
-        #: The entries as stored, by identity, and up to when they are known.
-        self._entries: dict[str, bytes] = {}
+        #: Up to when the entries are known.
         self._revision = Revision()
         #: The compressed configuration in force, and the compressed entries
         #: once a peer has fetched them.
@@ -99,7 +96,9 @@
         if known <= request.revision:
             return Snapshot(configuration)
         if not self._compressed_entries:
-            self._compressed_entries = compress_entries(self._entries)
+            self._compressed_entries = compress_entries(
+                {server.server_id: server.document for server in self._servers}
+            )
         return Snapshot(
             configuration, known.version, self._compressed_entries, known.era
         )
@@ -170,8 +169,13 @@
             # entries since.
             return
         now = self._shared.clock.now()
-        was_unavailable = failed_at > 0 and now - failed_at < _LAPSE_WINDOW
         before = self._revision
+        if 0 < before.era < changes.revision.era:
+            _log.info('The store was restored; its entries may be older')
+            self._servers.start_distrust(now)
+        was_unavailable = self._servers.is_distrusting(now) or (
+            failed_at > 0 and now - failed_at < _LAPSE_WINDOW
+        )
         self._compressed_entries = b''
         found = [
             self._apply_row(row, now, was_unavailable=was_unavailable)
@@ -191,9 +195,16 @@
             self.on_update()
 
     def expire(self) -> None:
-        """Remove backend servers whose lapsed entries did not come back."""
-        for server in self._servers.expire(self._shared.clock.now()):
+        """Remove backend servers whose lapsed entries did not come back.
+
+        Also, entries that were kept back after a restore of the store are
+        used once they can be trusted.
+        """
+        now = self._shared.clock.now()
+        for server in self._servers.expire(now):
             self._remove_server(server)
+        for server in self._servers.end_distrust(now):
+            self._use_entry(server, None, self._revision)
 
     def replan(self, daemons: int, *, is_changed: bool) -> None:
         """Plan again how the daemons share connections.
@@ -239,11 +250,18 @@
                 row.key, now, was_unavailable=was_unavailable
             )
             return None
-        self._entries[row.key] = row.content
         server = self._decode(row.key, row.content)
-        if server is not None:
-            _log_change(self._servers.put(server), server, row.revision)
-            self._put_member(server)
+        if server is None:
+            return None
+        known = self._servers.get(row.key)
+        if self._servers.put(server, now):
+            self._use_entry(server, known, row.revision)
+        else:
+            _log.info(
+                'Kept back an entry of {} from {}: a newer one is known',
+                row.key,
+                row.revision,
+            )
         return server
 
     def _decode(self, key: str, content: bytes) -> Server | None:
@@ -262,11 +280,23 @@
         if was_unavailable:
             self._servers.lapse(name, now)
             return
-        server = self._servers.remove(name)
+        server = self._servers.remove(name, now)
         if server is not None:
             self._remove_server(server)
 
-    def _put_member(self, server: Server) -> None:
+    def _use_entry(
+        self, server: Server, known: Server | None, revision: Revision
+    ) -> None:
+        if server.tells_more_than(known):
+            _log.info(
+                'Backend server {} of {} is {}, {}; entry from {}',
+                server.server_id,
+                server.service,
+                server.role.value,
+                'leaving' if server.leaving else 'ready',
+                revision,
+            )
+        self._compressed_entries = b''
         runner = self.runners.get(server.service)
         if runner is not None:
             runner.cluster.put(server)
@@ -277,26 +307,12 @@
             server.server_id,
             server.service,
         )
-        self._entries.pop(server.server_id, None)
         self._compressed_entries = b''
         runner = self.runners.get(server.service)
         if runner is not None:
             runner.cluster.remove(server.server_id)
 
 
-def _log_change(old: Server | None, new: Server, revision: Revision) -> None:
-    """Log an entry that tells something new about its backend server."""
-    if old is None or old != attrs.evolve(new, slow_for=old.slow_for):
-        _log.info(
-            'Backend server {} of {} is {}, {}; entry from {}',
-            new.server_id,
-            new.service,
-            new.role.value,
-            'leaving' if new.leaving else 'ready',
-            revision,
-        )
-
-
 def _do_nothing() -> None:
     """Do nothing; the default until the node sets a callback."""
 
--- a/monsoonproxy/servers.py
+++ b/monsoonproxy/servers.py
@@ -22,6 +22,8 @@
     :param role: Primary or replica, as it sees itself.
     :param started_at: When it started, in ms since the Unix epoch.
     :param slow_for: Time in ms for which it is still slow after its start.
+    :param sequence: Number of the entry, which grows while it runs.
+    :param document: The entry as stored, for peers.
     """
 
     server_id: str
@@ -33,6 +35,34 @@
     role: Role = Role.REPLICA
     started_at: int = 0
     slow_for: int = 0
+    sequence: int = 0
+    document: bytes = attrs.field(default=b'', repr=False)
+
+    @property
+    def age_key(self) -> tuple[int, int]:
+        """Return what orders all entries that one backend server wrote."""
+        return self.started_at, self.sequence
+
+    def tells_more_than(self, old: 'Server | None') -> bool:
+        """Tell whether an entry differs in more than its number.
+
+        :param old: The entry of the same backend server before, if any.
+        :returns: Whether it does, or there was none.
+        """
+        return old is None or self != attrs.evolve(
+            old,
+            slow_for=self.slow_for,
+            sequence=self.sequence,
+            document=self.document,
+        )
+
+
+@attrs.frozen
+class _Departure:
+    """The last entry of a removed backend server, and when it was removed."""
+
+    server: Server
+    at: Millis
 
 
 class ServerList:
@@ -41,16 +71,31 @@
     Entries may lapse while the store is unavailable. Backend servers that are
     alive restore theirs once it is back, so an entry that is missing then is
     kept for :attr:`GRACE`.
+
+    A store that is restored from an older copy has entries again that were
+    changed or removed since. For :attr:`DISTRUST` they don't replace what is
+    known to be newer: live backend servers write theirs again meanwhile, and
+    the store drops those of the others. What the store holds then is used.
     """
 
     #: Time in ms for which a missing entry is kept after the store was
     #: unavailable: entries come back within about two seconds by the platform's
     #: description, and half a second is margin.
     GRACE = Millis(2_500)
+    #: Time in ms for which entries of a restored store may be older than known
+    #: ones. The store drops an entry within three intervals of 1.2 s.
+    DISTRUST = Millis(6_000)
+    #: Time in ms for which removed backend servers are remembered, far above
+    #: the age of a copy, which is some seconds.
+    DEPARTED_MEMORY = Millis(120_000)
 
     def __init__(self) -> None:
         self._servers: dict[str, Server] = {}
         self._lapsed: dict[str, int] = {}
+        self._departed: dict[str, _Departure] = {}
+        #: Entries that are older than what is known, by identity.
+        self._distrusted: dict[str, Server] = {}
+        self._distrusts_until = Millis(0)
 
     def __iter__(self) -> Iterator[Server]:
         """Iterate over the backend servers.
@@ -87,25 +132,51 @@
             if server.service == service
         )
 
-    def put(self, server: Server) -> Server | None:
-        """Add or replace an entry.
+    def start_distrust(self, now: Millis) -> None:
+        """Expect older entries, because the store was restored.
+
+        :param now: The time.
+        """
+        self._distrusts_until = Millis(now + self.DISTRUST)
+
+    def is_distrusting(self, now: Millis) -> bool:
+        """Tell whether entries in the store may be older than known ones.
+
+        :param now: The time.
+        :returns: Whether the store was restored less than 6 s ago.
+        """
+        return now < self._distrusts_until
+
+    def put(self, server: Server, now: Millis = Millis(0)) -> bool:
+        """Add or replace an entry, or keep it back if it may be an older one.
 
         :param server: The entry.
-        :returns: The entry that it replaces.
+        :param now: The time.
+        :returns: Whether the entry is used now.
         """
-        old = self._servers.get(server.server_id)
-        self._servers[server.server_id] = server
-        self._lapsed.pop(server.server_id, None)
-        return old
+        name = server.server_id
+        if self.is_distrusting(now) and self._is_older(server):
+            self._distrusted[name] = server
+            return False
+        self._distrusted.pop(name, None)
+        self._departed.pop(name, None)
+        self._lapsed.pop(name, None)
+        self._servers[name] = server
+        return True
 
-    def remove(self, server_id: str) -> Server | None:
+    def remove(self, server_id: str, now: Millis = Millis(0)) -> Server | None:
         """Drop an entry.
 
         :param server_id: Identity of the backend server.
+        :param now: The time.
         :returns: The dropped entry.
         """
+        self._distrusted.pop(server_id, None)
         self._lapsed.pop(server_id, None)
-        return self._servers.pop(server_id, None)
+        server = self._servers.pop(server_id, None)
+        if server is not None:
+            self._departed[server_id] = _Departure(server, now)
+        return server
 
     def replace_all(
         self, servers: Iterable[Server], now: Millis, *, was_unavailable: bool
@@ -120,13 +191,15 @@
         """
         listed = {server.server_id for server in servers}
         for server in servers:
-            self.put(server)
+            self.put(server, now)
+        for unlisted in self._distrusted.keys() - listed:
+            self._distrusted.pop(unlisted)
         missing = [name for name in self._servers if name not in listed]
         if was_unavailable:
             for name in missing:
-                self._lapsed.setdefault(name, now + self.GRACE)
+                self.lapse(name, now)
             return ()
-        return tuple(filter(None, map(self.remove, missing)))
+        return self._remove_all(missing, now)
 
     def lapse(self, server_id: str, now: Millis) -> None:
         """Keep an entry for a while that the store lost in a disturbance.
@@ -134,6 +207,7 @@
         :param server_id: Identity of the backend server.
         :param now: The time.
         """
+        self._distrusted.pop(server_id, None)
         if server_id in self._servers:
             self._lapsed.setdefault(server_id, now + self.GRACE)
 
@@ -144,4 +218,41 @@
         :returns: The dropped entries.
         """
         due = [name for name, at in self._lapsed.items() if at <= now]
-        return tuple(filter(None, map(self.remove, due)))
+        self._departed = {
+            name: departure
+            for name, departure in self._departed.items()
+            if now - departure.at < self.DEPARTED_MEMORY
+        }
+        return self._remove_all(due, now)
+
+    def end_distrust(self, now: Millis) -> tuple[Server, ...]:
+        """Use the entries that were kept back once their time is over.
+
+        :param now: The time.
+        :returns: The entries.
+        """
+        if not self._distrusted or self.is_distrusting(now):
+            return ()
+        trusted = tuple(self._distrusted.values())
+        for server in trusted:
+            self.put(server, now)
+        return trusted
+
+    def _is_older(self, server: Server) -> bool:
+        """Tell whether an entry is older than what is known of its writer.
+
+        The last entry of a removed backend server is older than its removal.
+        """
+        known = self._servers.get(server.server_id)
+        if known is not None:
+            return server.age_key < known.age_key
+        departure = self._departed.get(server.server_id)
+        if departure is None:
+            return False
+        return server.age_key <= departure.server.age_key
+
+    def _remove_all(
+        self, names: Iterable[str], now: Millis
+    ) -> tuple[Server, ...]:
+        removed = (self.remove(name, now) for name in names)
+        return tuple(server for server in removed if server is not None)
