Tell peers which entries the store lacks

What callers would see: on sites of more than 20 daemons, requests through most daemons at a backend server that has left, until the next change of any entry (DRAIN). It needs no restore: an outage of the store in which an entry expires is enough. Found while looking for places that keep what the store said.

Cause: a delegate keeps an entry that is missing after an outage for a moment and then drops it by itself. Its peers fetch entries only if a later revision is announced, and neither the missing row nor the drop had one.

A whole read in which entries are missing counts as known up to the read, so that peers fetch it.

--- a/monsoonproxy/catalog.py
+++ b/monsoonproxy/catalog.py
@@ -1,6 +1,6 @@
 """Services, routes and backend servers that a daemon knows."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from monsoonproxy.clock import Millis
 from monsoonproxy.clusters import Cluster
@@ -100,7 +100,11 @@
                 {server.server_id: server.document for server in self._servers}
             )
         return Snapshot(
-            configuration, known.version, self._compressed_entries, known.era
+            configuration,
+            known.version,
+            self._compressed_entries,
+            known.era,
+            list(self._servers.lapsed),
         )
 
     def apply(self, snapshot: Snapshot) -> None:
@@ -118,7 +122,12 @@
                 for key, content in decompress_entries(snapshot.entries).items()
             )
             changes = TableRows(rows, revision)
-            self.apply_server_rows(changes, whole=True, failed_at=Millis(0))
+            self.apply_server_rows(
+                changes,
+                whole=True,
+                failed_at=Millis(0),
+                lapsed=frozenset(snapshot.lapsed),
+            )
 
     def apply_configuration_row(self, changes: TableRows, _whole: bool) -> None:
         """Apply the operator's configuration from its row in the store.
@@ -155,7 +164,12 @@
         self.on_update()
 
     def apply_server_rows(
-        self, changes: TableRows, *, whole: bool, failed_at: Millis
+        self,
+        changes: TableRows,
+        *,
+        whole: bool,
+        failed_at: Millis,
+        lapsed: frozenset[str] = frozenset(),
     ) -> None:
         """Apply entries of backend servers.
 
@@ -163,6 +177,7 @@
         :param whole: Whether these are all entries, so that backend servers
             without one are removed.
         :param failed_at: When the store last failed, or 0.
+        :param lapsed: Entries that a peer has but the store lacks.
         """
         if changes.revision.era < self._revision.era:
             # Read from the store before it was restored; peers have told newer
@@ -182,15 +197,12 @@
             for row in changes.rows
         ]
         if whole:
-            # The first read of an era is newer than all before, even if the
-            # restored store holds no entry.
-            self._revision = max(self._revision, Revision(changes.revision.era))
-            listed = [server for server in found if server is not None]
             gone = self._servers.replace_all(
-                listed, now, was_unavailable=was_unavailable
+                filter(None, found), now, was_unavailable=was_unavailable
             )
-            for missing in gone:
-                self._remove_server(missing)
+            for name in lapsed:
+                self._servers.lapse(name, now)
+            self._handle_missing(gone, changes.revision)
         if self._revision > before:
             self.on_update()
 
@@ -264,6 +276,21 @@
             )
         return server
 
+    def _handle_missing(
+        self, gone: Iterable[Server], revision: Revision
+    ) -> None:
+        """Remove what a whole read lacks, and make peers fetch the change.
+
+        Missing entries have no version of their own. The first read of an era
+        is newer than all before even if nothing is missing.
+        """
+        is_complete = not self._servers.lapsed
+        for server in gone:
+            self._remove_server(server)
+            is_complete = False
+        known = Revision(revision.era) if is_complete else revision
+        self._revision = max(self._revision, known)
+
     def _decode(self, key: str, content: bytes) -> Server | None:
         try:
             return self._documents.server(key, content)
--- a/monsoonproxy/servers.py
+++ b/monsoonproxy/servers.py
@@ -120,6 +120,14 @@
         """
         return self._servers.get(server_id)
 
+    @property
+    def lapsed(self) -> tuple[str, ...]:
+        """Return the backend servers that are dropped unless they come back.
+
+        :returns: Their identities.
+        """
+        return tuple(self._lapsed)
+
     def of(self, service: str) -> tuple[Server, ...]:
         """Return the backend servers of a service.
 
@@ -189,8 +197,9 @@
             so that missing entries may still come back.
         :returns: The removed entries.
         """
-        listed = {server.server_id for server in servers}
+        listed = set()
         for server in servers:
+            listed.add(server.server_id)
             self.put(server, now)
         for unlisted in self._distrusted.keys() - listed:
             self._distrusted.pop(unlisted)
--- a/monsoonproxy/snapshots.py
+++ b/monsoonproxy/snapshots.py
@@ -51,12 +51,15 @@
     :param stamp: Version of the entries, or 0 if there are none.
     :param entries: All entries, from :func:`compress_entries`.
     :param era: Era of the store that ``stamp`` belongs to.
+    :param lapsed: Identities of backend servers whose entries the store lacks,
+        and that are dropped soon unless it has them again.
     """
 
     configuration: bytes = b''
     stamp: int = 0
     entries: bytes = b''
     era: int = 0
+    lapsed: list[str] = []
 
     @property
     def revision(self) -> Revision:
--- a/tests/test_message_tags.py
+++ b/tests/test_message_tags.py
@@ -69,7 +69,7 @@
     'StatusReply': '[int, bytes]',
 }
 _SNAPSHOTS = [
-    "[bytes = b'', int = 0, bytes = b'', int = 0]",
+    "[bytes = b'', int = 0, bytes = b'', int = 0, list[str] = []]",
     '[int, int, int = 0]',
 ]
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -165,6 +165,25 @@
     await wait_until(lambda: not any(_members(site, 'db-1')), _DRAIN_LIMIT)
 
 
+async def test_missing_entry_is_dropped_by_all_daemons(
+    delegating_site: SiteStandIn,
+) -> None:
+    """Guards against daemons that go on using a server that has left (DRAIN).
+
+    The delegates read the whole table, in which its entry is missing; there is
+    no change of a later version that they could tell the others.
+    """
+    site = delegating_site
+    site.platform.faults.status = 503
+    await site.databases[1].stop()
+    site.platform.write_entry(site.databases[2])
+    await asyncio.sleep(0.1)
+    site.platform.remove_entry('db-1')
+    site.platform.compact()
+    site.platform.faults.status = 0
+    await wait_until(lambda: not any(_members(site, 'db-1')), _DRAIN_LIMIT)
+
+
 async def test_draining_server_is_not_ready_in_restored_store(
     platform_site: SiteStandIn,
 ) -> None:
