Let daemons list themselves again after a restore

What callers would see: worse plans and polls. Daemons that joined after the copy was made are missing from the restored list. Those that start later don't find them, share connections as if they were fewer, and don't poll them about leaders, until the next check of the list 20 minutes later.

Cause: a daemon wrote its row at its start and took it for kept. The check of the list also accepted an older row with addresses that the daemon had left.

Each daemon that learns of a later era, from the store or from peers, reads its own row, 200 daemons per second. If the row is missing or older, it writes it, reads the list, and announces itself to all. The regular check compares contents.

--- a/monsoonproxy/delegate_selection.py
+++ b/monsoonproxy/delegate_selection.py
@@ -54,7 +54,7 @@
     :param delegates: Relay addresses of the delegates.
     :param alive: The live peers.
     :param now: Current time.
-    :param era: Era of the store that this daemon has entries of.
+    :param era: Latest era of the store that this daemon knows of.
     :returns: Whether it is a delegate, or hears too few peers that follow the
         store. Peers of an earlier release, which know no eras, don't count
         once this daemon knows one: their entries would be taken for older.
--- a/monsoonproxy/delegation.py
+++ b/monsoonproxy/delegation.py
@@ -53,7 +53,6 @@
         self._update_deadline = (
             _FIRST_UPDATE_DEADLINE if settings.first_start else _UPDATE_DEADLINE
         )
-        self._store = store
         self._catalog = catalog
         self._supervisor = supervisor
         self._clock = clock
@@ -93,19 +92,18 @@
         """
         self._chosen = delegate_selection.choose_delegates(hosts)
 
-    async def update(self, alive: Iterable[Peer]) -> None:
+    async def update(self, alive: Iterable[Peer], era: int) -> None:
         """Start or stop following the store.
 
         :param alive: The live peers.
+        :param era: Latest era of the store that this daemon knows of.
         """
         now = self._clock.now()
-        _version, entries = self._catalog.versions()
         must = delegate_selection.must_follow(
-            self._own, self._chosen, alive, now, entries.era
+            self._own, self._chosen, alive, now, era
         )
         if must and not self.is_delegate and self._may_wait(now):
             return
-        era = max(self._store.era, entries.era)
         for name, follower in self._followers.items():
             if follower.is_outdated(era):
                 await self._supervisor.stop_child(name)
--- a/monsoonproxy/joining.py
+++ b/monsoonproxy/joining.py
@@ -1,7 +1,9 @@
-"""Joins a starting daemon to its peers.
+"""Joins a daemon to its peers.
 
-The daemon reads the list of daemons from the platform's store and writes its
-own row to it. While the store does not answer, it asks seed peers instead.
+A starting daemon reads the list of daemons from the platform's store and writes
+its own row to it. While the store does not answer, it asks seed peers instead.
+If the store is restored from an older copy later, the row may be gone, and the
+daemon joins again.
 """
 
 import asyncio
@@ -27,6 +29,12 @@
 #: Time in ms that the store has to answer before seed peers are asked for the
 #: list, and between two requests. Without load, the store answers within 4 ms.
 _SEED_INTERVAL = 300
+#: Time in ms over which the daemons look for their rows after a restore, for
+#: each daemon, and at least. All daemons together make 200 calls per second.
+_REJOIN_SPREAD_PER_DAEMON = 5
+_MIN_REJOIN_SPREAD = 500
+#: Attempts to write the own row, which another restore may remove at once.
+_ENLIST_ATTEMPTS = 2
 #: Listings in one datagram, which keeps it below 1,400 bytes.
 _LISTINGS_PER_DATAGRAM = 16
 
@@ -55,6 +63,9 @@
         self.has_joined = False
         #: Called when peers from the store's list were added.
         self.on_peers_listed: Callable[[], Awaitable[None]] = _do_nothing
+        #: Latest era of the store in which the own row was looked for.
+        self._listed_era = 0
+        self._must_rejoin = asyncio.Event()
         self._settings = settings
         self._store = store
         self._gossip = gossip
@@ -70,7 +81,28 @@
         )
         gossip.handlers[gossip_messages.Roster] = self._handle_roster
 
+    def check_listing(self, era: int) -> None:
+        """Look for the own row again if the store was restored since.
+
+        :param era: Era of the store, from any of its answers or from a peer.
+        """
+        if self.has_joined and era > self._listed_era:
+            self._must_rejoin.set()
+
     async def run(self) -> None:
+        """Join the peers, and again after each restore of the store."""
+        await self._join()
+        while True:
+            await self._must_rejoin.wait()
+            spread = max(
+                _MIN_REJOIN_SPREAD,
+                _REJOIN_SPREAD_PER_DAEMON * len(self._peers),
+            )
+            await asyncio.sleep(seconds(1) * random.uniform(0, spread))
+            self._must_rejoin.clear()
+            await self._rejoin()
+
+    async def _join(self) -> None:
         """Read the list of daemons and make sure that this one is in it."""
         own = gossip_messages.encode(self.listing)
         is_listed = self._settings.first_start
@@ -88,12 +120,36 @@
             peers = self._peers.sample(peers, FANOUT)
         self._gossip.announce(peers)
         if not is_listed:
-            await self._write(own)
-            await self._read()
-            self._gossip.announce(self._peers.all())
+            await self._enlist(own)
         self.has_joined = True
         await self.on_peers_listed()
 
+    async def _rejoin(self) -> None:
+        """Make sure that the own row is in the list of a restored store."""
+        own = gossip_messages.encode(self.listing)
+        name = self._settings.name
+        row = await _retry(lambda: self._store.find(Table.DAEMONS, name))
+        self._listed_era = row.revision.era
+        if row.content == own:
+            return
+        _log.warning(
+            'Row of {} is missing from the restored list of daemons, or older;'
+            ' writing it',
+            name,
+        )
+        await self._enlist(own)
+        await self.on_peers_listed()
+
+    async def _enlist(self, own: bytes) -> None:
+        """Write the own row, and tell all listed peers."""
+        for _ in range(_ENLIST_ATTEMPTS):
+            await self._write(own)
+            # Daemons that joined meanwhile don't know this one.
+            rows = await self._read()
+            if rows.get(self._settings.name) == own:
+                break
+        self._gossip.announce(self._peers.all())
+
     async def ask_seeds(self) -> None:
         """Ask seed peers for the live daemons until any peer is known."""
         seeds = [
@@ -120,6 +176,7 @@
         for name, content in rows.items():
             self._add(name, gossip_messages.decode_listing(content))
         self.has_read_list = True
+        self._listed_era = listed.revision.era
         return rows
 
     async def _write(self, own: bytes) -> None:
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -160,7 +160,7 @@
             'connections_lent': self._relay.leases,
             'daemons_alive': len(self._peers.alive(self._clock.now())),
             'ready': int(self.ready),
-            'store_era': self._store.era,
+            'store_era': self._store_era(),
         }
 
     async def run(self) -> None:
@@ -294,7 +294,12 @@
 
     async def _update_delegation(self) -> None:
         alive = self._peers.alive(self._clock.now())
-        await self._delegation.update(alive)
+        await self._delegation.update(alive, self._store_era())
+
+    def _store_era(self) -> int:
+        """Return the latest era that the store or a peer has told."""
+        _version, entries = self.catalog.versions()
+        return max(self._store.era, entries.era)
 
     async def _drain(self) -> None:
         """Let callers finish, within the time until SIGKILL."""
@@ -327,6 +332,7 @@
                 self._clients.end_idle_transactions(limit)
             self.catalog.expire()
             self._replan()
+            self._joiner.check_listing(self._store_era())
             await self._update_delegation()
             for runner in self.catalog.runners.values():
                 self._promoter.replace_leaving_leader(runner)
--- a/monsoonproxy/peer_cleanup.py
+++ b/monsoonproxy/peer_cleanup.py
@@ -86,12 +86,14 @@
                 _log.info('Checking the list of daemons failed: {}', exc)
 
     async def reconcile(self) -> None:
-        """Write the own row if it is missing, and remove stale rows."""
+        """Write the own row unless it is listed, and remove stale rows."""
         rows = (await self._store.read(Table.DAEMONS)).rows
         listed = {row.key: row for row in rows if row.content is not None}
-        if self._own not in listed:
+        own = listed.get(self._own)
+        if own is None or own.content != self._content:
             _log.warning(
-                'Row of {} is missing from the list of daemons; writing it',
+                'Row of {} is missing from the list of daemons, or older;'
+                ' writing it',
                 self._own,
             )
             await self._store.put(Table.DAEMONS, self._own, self._content)
--- a/monsoonproxy/stores.py
+++ b/monsoonproxy/stores.py
@@ -93,6 +93,14 @@
         :raises StoreRestoredError: If the store was restored during the call.
         """
 
+    async def find(self, table: Table, key: str) -> StoreRow:
+        """Read one row.
+
+        :param table: The table.
+        :param key: Key of the row.
+        :returns: The row; without content and with version 0 if there is none.
+        """
+
     async def follow(
         self, table: Table, after: Revision, wait: Millis
     ) -> TableRows:
--- a/tests/test_peer_cleanup.py
+++ b/tests/test_peer_cleanup.py
@@ -106,7 +106,7 @@
     """Yield the cleanup of a delegate on a site of ten daemons."""
     clock = _ManualClock()
     rows = {
-        f'd{number}': StoreRow(f'd{number}', b'x', 1)
+        f'd{number}': StoreRow(f'd{number}', b'x', Revision(1, 1))
         for number in range(_COUNT)
     }
     listed = _ListStub(rows)
@@ -178,3 +178,13 @@
     cleanup_site.listed.rows.pop('d0')
     await cleanup_site.pass_time(_RULES.interval, range(1, _COUNT))
     assert 'd0' in cleanup_site.listed.rows
+
+
+async def test_older_row_is_written_again(cleanup_site: _CleanupSite) -> None:
+    """Guards against a daemon that is listed at an address it has left.
+
+    The list has a row of its that is older, as after a restore of the store.
+    """
+    own = gossip_messages.encode(_listing(0))
+    await cleanup_site.pass_time(_RULES.interval, range(1, _COUNT))
+    assert cleanup_site.listed.rows['d0'].content == own
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -264,6 +264,30 @@
         )
 
 
+async def test_daemon_corrects_its_row_in_restored_store(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against a daemon that is looked for at an address it has left.
+
+    It started again at another address after the copy was made.
+    """
+    site = platform_site
+    first = await site.add_node(site.settings('front-3'))
+    await wait_until(lambda: ('daemons', 'front-3') in site.platform.rows)
+    copy = site.platform.copy()
+    await first.abort()
+    await site.add_node(site.settings('front-3'))
+    before = copy.rows['daemons', 'front-3'][0]
+    rows = site.platform.rows
+    await wait_until(lambda: rows['daemons', 'front-3'][0] != before)
+    moved = rows['daemons', 'front-3'][0]
+    site.platform.restore(copy)
+    await wait_until(
+        lambda: site.platform.rows['daemons', 'front-3'][0] == moved,
+        _IN_FORCE_LIMIT,
+    )
+
+
 async def test_configuration_survives_restored_store(
     platform_site: SiteStandIn,
 ) -> None:
