--- a/monsoonproxy/delegation.py
+++ b/monsoonproxy/delegation.py
@@ -107,7 +107,7 @@
         for name, follower in self._followers.items():
             if follower.is_outdated(era):
                 await self._supervisor.stop_child(name)
-                follower.reset()
+                follower.reset(era)
             if must:
                 self._start(name, follower)
             else:
--- a/monsoonproxy/table_followers.py
+++ b/monsoonproxy/table_followers.py
@@ -49,6 +49,8 @@
         self._handler = handler
         self._clock = clock
         self._revision: Revision | None = None
+        #: Latest era for which the table was read again.
+        self._reset_era = 0
 
     async def run(self) -> None:
         """Follow the table until cancelled, retrying after failed calls."""
@@ -78,11 +80,16 @@
         :param era: The store's era, from any of its answers.
         :returns: Whether the table has to be read again.
         """
-        return self._revision is not None and self._revision.era < era
+        known = self._revision
+        return known is not None and max(known.era, self._reset_era) < era
 
-    def reset(self) -> None:
-        """Read the whole table next; must not be called while running."""
+    def reset(self, era: int) -> None:
+        """Read the whole table next; must not be called while running.
+
+        :param era: The era that the table is outdated for.
+        """
         self._revision = None
+        self._reset_era = era
 
     async def _step(self) -> None:
         whole = self._revision is None
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -11,7 +11,11 @@
 from stand_ins.store import PlatformStandIn
 
 from monsoonproxy.clock import Millis
-from monsoonproxy.exceptions import HistoryLostError, StoreRestoredError
+from monsoonproxy.exceptions import (
+    HistoryLostError,
+    PlatformError,
+    StoreRestoredError,
+)
 from monsoonproxy.stores import Revision, Table
 from tests.fixtures import fixture, load_functions
 from tests.stand_ins import raised
@@ -145,3 +149,28 @@
         return response
 
     return mock.patch.object(storage.client, '_get', read_and_act)
+
+
+async def test_malformed_eras_and_versions(storage: _Storage) -> None:
+    """Guards against a follower that ends at an unexpected error.
+
+    Eras and versions out of range would overflow fencing tokens and messages
+    to peers.
+    """
+    row = b'{"rows":[{"key":"k","ver":%d}],"ver":%d}'
+    answers = [
+        Response(200, row % (1, 1), {'store-era': era})
+        for era in ('x', '-1', '9' * 6_000, '8388608', '1.5', '')
+    ]
+    answers += [
+        Response(200, row % (version, other), {'store-era': '1'})
+        for version, other in ((-1, 1), (1, 1 << 40), (10**30, 1), (1, -1))
+    ]
+    follow = storage.client.follow
+    for answer in answers:
+        call = mock.AsyncMock(return_value=answer)
+        with mock.patch.object(storage.client._store, 'call', call):
+            await raised(storage.client.read(Table.SERVERS), PlatformError)
+            await raised(
+                follow(Table.SERVERS, Revision(1, 1), _NO_WAIT), PlatformError
+            )
