Replace a leader that is gone while nobody could take over

Cause: a failed leader is replaced by a daemon that can't reach it. If the leader leaves, or its entry expires, while no replica is up, its entry is removed and with it the check that was under way. When replicas are back, all of them refuse, and no daemon knows of a leader that it could replace.

A daemon that has known no leader for 4 s, and to which all listed backend servers answered within 1.5 s that they don't lead, promotes one as after a failure: in the order of ranks, with a claim. A backend server that is silent keeps it from doing so, since it may lead. Entries come within 2 s of a start or of the store's return, so that a primary that registers last is not overtaken.

Ruled out: keeping the old leader as a member until it is replaced (it may be another service's address by then); polling peers (all backend servers answer, which is stronger).

Evidence: test_leader_left_without_successor fails before, passes 8 of 8 times.

--- a/monsoonproxy/leadership.py
+++ b/monsoonproxy/leadership.py
@@ -1,5 +1,7 @@
 """What one daemon knows about which backend server of a service leads."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from monsoonproxy.clock import Millis
@@ -112,6 +114,20 @@
         self._claims.pop(server_id, None)
         return self._clear_leader(server_id)
 
+    def have_all_refused(
+        self, server_ids: Iterable[str], since: Millis
+    ) -> bool:
+        """Tell whether some backend servers all answered not to lead.
+
+        :param server_ids: Their identities.
+        :param since: Time from which an answer counts.
+        :returns: Whether each of them did.
+        """
+        return all(
+            self._claim(server_id).refused_at >= since
+            for server_id in server_ids
+        )
+
     def likely_leader(self) -> str | None:
         """Return the backend server to send writes to.
 
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -336,6 +336,7 @@
             await self._update_delegation()
             for runner in self.catalog.runners.values():
                 self._promoter.replace_leaving_leader(runner)
+                self._promoter.replace_missing_leader(runner)
 
     async def _report(self) -> None:
         while True:
--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -2,17 +2,15 @@
 
 import asyncio
 import zlib
-from collections.abc import Coroutine, Iterable
+from collections.abc import Coroutine
 from typing import Any
 
 from monsoonproxy import gossip_messages
 from monsoonproxy.background import Background
+from monsoonproxy.candidates import query_candidates
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.clusters import Cluster
-from monsoonproxy.connection_pools import LeaseRequest
-from monsoonproxy.dialects import Dialect
 from monsoonproxy.exceptions import (
-    DialectError,
     FencedError,
     PlatformError,
 )
@@ -21,7 +19,6 @@
 from monsoonproxy.leader_monitor import TAKEOVER_LIMIT
 from monsoonproxy.leader_replacement import (
     Assessment,
-    CandidateStatus,
     Decision,
     Reachability,
     choose_planned_successor,
@@ -30,14 +27,12 @@
 )
 from monsoonproxy.logs import log_for
 from monsoonproxy.members import Member
-from monsoonproxy.models import Position
-from monsoonproxy.queries import Answer
 from monsoonproxy.reachability import (
     PROBE_LIMIT,
     FindRunner,
     ReachabilityPoller,
 )
-from monsoonproxy.statement_runner import CONNECTION_ERRORS, StatementRunner
+from monsoonproxy.statement_runner import StatementRunner
 from monsoonproxy.stores import Store
 
 _log = log_for('promotion')
@@ -65,6 +60,13 @@
 _RETRY_GROWTH = 1.5
 #: Time in ms after which a daemon without any peer decides alone.
 _DECIDE_ALONE_AFTER = 2_000
+#: Time in ms without a leader after which a service gets one although none is
+#: known that failed: the entry of the leader is gone, or never came. Entries
+#: come within two seconds of a start, or of the return of the store.
+_MISSING_LEADER_TIME = 4_000
+#: Time in ms within which all backend servers must have answered not to lead.
+#: The search for a leader asks each of them every 0.5 s.
+_RECENT_REFUSAL = 1_500
 #: Attempts to send one promotion order, and the pause in ms between them.
 _ORDER_ATTEMPTS = 4
 _ORDER_PAUSE = 100
@@ -120,6 +122,25 @@
         if leader is not None and leader.server.leaving:
             self._start(runner, self._hand_over(runner, leader))
 
+    def replace_missing_leader(self, runner: StatementRunner) -> None:
+        """Start a replacement if no backend server of a service leads.
+
+        The leader may have left, or lost its entry, while none of the others
+        was up to take over.
+
+        :param runner: Runner of the service.
+        """
+        cluster, now = runner.cluster, self._clock.now()
+        if cluster.leader is not None or not cluster.members:
+            return
+        cluster.find_leader()
+        since = cluster.leaderless_since
+        if since is None or now - since < _MISSING_LEADER_TIME:
+            return
+        recent = Millis(now - _RECENT_REFUSAL)
+        if cluster.leadership.have_all_refused(cluster.members, recent):
+            self._start(runner, self._replace_missing(runner))
+
     def _start(
         self, runner: StatementRunner, work: Coroutine[Any, Any, None]
     ) -> None:
@@ -235,16 +256,30 @@
     async def _replace(self, runner: StatementRunner, member: Member) -> bool:
         """Promote another backend server; return whether there is a leader."""
         cluster = runner.cluster
-        service = cluster.rules.name
         cluster.mark_not_leading(member)
+        return await self._elect(cluster, _other_members(cluster, member))
+
+    async def _replace_missing(self, runner: StatementRunner) -> None:
+        cluster = runner.cluster
+        _log.warning(
+            'No backend server of {} has led for {} ms or more; promoting one',
+            cluster.rules.name,
+            _MISSING_LEADER_TIME,
+        )
+        await self._elect(cluster, list(cluster.members.values()))
+
+    async def _elect(self, cluster: Cluster, members: list[Member]) -> bool:
+        """Promote one of some backend servers, unless another daemon does.
+
+        :returns: Whether there is a leader.
+        """
+        service = cluster.rules.name
         await asyncio.sleep(seconds(self._rank(service) * _RANK_DELAY))
         if self._is_promotion_pending(service):
             return await _wait_for_leader(cluster)
         if cluster.leadership.leader is not None:
             return True
-        candidates = await _query_candidates(
-            cluster, _other_members(cluster, member)
-        )
+        candidates = await query_candidates(cluster, members)
         target = choose_successor(
             candidates, needs_all=cluster.rules.synchronous
         )
@@ -345,7 +380,7 @@
         answer = await cluster.probe(leader)
         if answer is None or answer.position is None:
             return None
-        candidates = await _query_candidates(
+        candidates = await query_candidates(
             cluster, _other_members(cluster, leader)
         )
         return choose_planned_successor(candidates, answer.position)
@@ -406,51 +441,6 @@
     return [other for other in cluster.members.values() if other is not member]
 
 
-async def _query_candidates(
-    cluster: Cluster, members: Iterable[Member]
-) -> list[CandidateStatus]:
-    """Read the log positions of the candidates for promotion."""
-    return await asyncio.gather(
-        *(_query_candidate(cluster, member) for member in members)
-    )
-
-
-async def _query_candidate(cluster: Cluster, member: Member) -> CandidateStatus:
-    server = member.server
-    dialect = cluster.dialect
-    if cluster.rules.synchronous:
-        # No commit may be acknowledged after the positions are read, or the
-        # chosen candidate might lack it.
-        text = dialect.pause(cluster.leadership.term + 1)
-    else:
-        text = dialect.status()
-    received = None
-    try:
-        async with cluster.leased(member, LeaseRequest(PROBE_LIMIT)) as lease:
-            answer = await cluster.internal_statement(lease, text, PROBE_LIMIT)
-            lease.clean = True
-            received = _received_position(dialect, answer)
-    except CONNECTION_ERRORS as exc:
-        _log.info(
-            'Position of candidate {} not read: {}', server.server_id, exc
-        )
-    return CandidateStatus(
-        server.server_id, received, server.leaving, server.started_at
-    )
-
-
-def _received_position(dialect: Dialect, answer: Answer) -> Position | None:
-    if not answer.succeeded:
-        # A busy backend server still reports a position, which is at most
-        # the received one.
-        return answer.position
-    try:
-        return dialect.parse_status(answer).received
-    except DialectError as exc:
-        _log.warning('Status answer of a candidate is malformed: {}', exc)
-        return answer.position
-
-
 async def _wait_for_leader(cluster: Cluster) -> bool:
     """Wait for a leader to accept transactions; return whether one does."""
     until = cluster.clock.now() + TAKEOVER_LIMIT
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -50,3 +50,17 @@
     leadership.record_acceptance('a', 1)
     assert leadership.forget('a')
     assert leadership.likely_leader() is None
+
+
+def test_refusals_of_all() -> None:
+    """Guards against replacing a leader that one backend server may be.
+
+    A backend server that has not answered lately may lead.
+    """
+    leadership = Leadership()
+    leadership.record_refusal('a', Millis(5))
+    assert not leadership.have_all_refused(['a', 'b'], Millis(3))
+    leadership.record_refusal('b', Millis(2))
+    assert not leadership.have_all_refused(['a', 'b'], Millis(3))
+    leadership.record_refusal('b', Millis(3))
+    assert leadership.have_all_refused(['a', 'b'], Millis(3))
--- a/tests/test_platform_failover.py
+++ b/tests/test_platform_failover.py
@@ -16,6 +16,8 @@
 
 #: Longest time in s for an answer that waits for no other process.
 _IMMEDIATE = 0.1
+#: Time in s within which any change of a leader is over.
+_REPLACED_WITHIN = 10
 
 
 async def test_primary_killed(platform_site: SiteStandIn) -> None:
@@ -43,7 +45,7 @@
     """
     caller = await platform_site.caller(PRIMARY_ROUTE)
     assert not (await caller.run('WRITE a 1')).code
-    query = promotion._query_candidates
+    query = promotion.query_candidates
 
     async def query_and_announce(*args: Any) -> Any:
         found = await query(*args)
@@ -52,7 +54,7 @@
             tokens.record_announced(SERVICE, 1, node._clock.now())
         return found
 
-    with mock.patch.object(promotion, '_query_candidates', query_and_announce):
+    with mock.patch.object(promotion, 'query_candidates', query_and_announce):
         await platform_site.leader.stop()
         await asyncio.sleep(1)
         assert not platform_site.platform.orders
@@ -155,6 +157,32 @@
     assert acknowledged <= kept
 
 
+async def test_leader_left_without_successor(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against a service that stays without a leader for good.
+
+    The leader leaves while no replica is up, so that nobody can take over; its
+    entry is gone when the replicas are back.
+    """
+    site = platform_site
+    caller = await site.caller(PRIMARY_ROUTE)
+    assert not (await caller.run('WRITE a 1')).code
+    await asyncio.sleep(0.1)
+    for database in site.databases:
+        await database.stop()
+        site.platform.remove_entry(database.server_id)
+    await asyncio.sleep(0.5)
+    for replica in site.databases[1:]:
+        await replica.restart()
+    async with asyncio.timeout(_REPLACED_WITHIN):
+        # Refusals are promises that nothing is kept; the caller tries again.
+        while (await caller.run('WRITE a 2')).code:
+            await asyncio.sleep(0.1)
+    assert site.leader.server_id != 'db-0'
+    assert len(site.platform.orders) == 1
+
+
 async def test_one_daemon_cut_off(five_daemon_site: SiteStandIn) -> None:
     """Guards against a replacement because one daemon is cut off.
 
