--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,6 +29,19 @@
 _REGRESSIONS = (10, 15)
 #: Time in s of disturbances for each seed.
 _SECONDS = 5
+#: Disturbances around restores of the store, and a seed that failed with them:
+#: the primary left while no replica was up, and nobody replaced it.
+_RESTORES = (
+    'store-restored',
+    'store-restored',
+    'kill-many',
+    'crash-database',
+    'crash-database',
+    'configure',
+    'release',
+)
+_RESTORES_SEED = 608
+_RESTORES_SECONDS = 15
 _ID = b'0011223344556677'
 
 
@@ -215,3 +228,19 @@
             result = await run_seed(seed, _SECONDS, pathlib.Path(directory))
         assert not result.violations, (result.violations, result.notes)
         assert result.outcomes['answered'] > 0
+
+
+async def test_soak_of_restored_store() -> None:
+    """Guards against violated guarantees when the store goes back in time.
+
+    The store is restored from older copies while daemons and databases fail.
+    """
+    with tempfile.TemporaryDirectory() as directory:
+        result = await run_seed(
+            _RESTORES_SEED,
+            _RESTORES_SECONDS,
+            pathlib.Path(directory),
+            _RESTORES,
+        )
+    assert not result.violations, (result.violations, result.notes)
+    assert result.outcomes['answered'] > 0
