Look for the leader elsewhere if the reported one is silent

What callers would see: writes refused for up to two seconds at daemons that start after a restore, and for as long as the entries stay as they are. The copy's entries name a primary that has failed and was replaced since.

Cause: a daemon that knows the leader only from an entry probes that backend server and no other. Peers that know it to be gone don't answer a poll about it, so that the leader was kept, and the daemon waited for a new entry.

One that accepts a transaction is the leader, whatever entries say. A leader that was confirmed is treated as before.

The fixture of tests/test_restored_store.py had the name of one in tests/test_platform_start.py, and fixtures share one table: with both modules loaded, either got the other's site, and test_restart_of_all_spares_the_store failed twice. It is renamed; no other name is used twice.

--- a/monsoonproxy/leader_monitor.py
+++ b/monsoonproxy/leader_monitor.py
@@ -60,7 +60,7 @@
         """Probe until a backend server accepts a transaction.
 
         Probes go to the likely leader, or to all backend servers if there is
-        none.
+        none or it does not answer.
         """
         loop = asyncio.get_running_loop()
         for name in self._cluster.members:
@@ -150,11 +150,21 @@
     async def _search(self, name: str) -> None:
         cluster = self._cluster
         while cluster.leadership.leader is None and name in cluster.members:
-            believed = cluster.leadership.likely_leader()
-            if believed is None or believed == name:
+            if self._must_probe(name):
                 await cluster.probe(cluster.members[name])
             await asyncio.sleep(seconds(1) * self._search_pause())
 
+    def _must_probe(self, name: str) -> bool:
+        """Tell whether a backend server may be the leader that is searched.
+
+        One that only its entry names may have been replaced since.
+        """
+        cluster = self._cluster
+        if cluster.leadership.likely_leader() in {None, name}:
+            return True
+        since = cluster.leaderless_since
+        return since is not None and cluster.clock.now() - since > PROBE_TIMEOUT
+
     def _search_pause(self) -> float:
         """Return the pause in ms until the next search probe."""
         cluster = self._cluster
--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -176,6 +176,8 @@
         began = self._clock.now()
         pause: float = _FIRST_RETRY_PAUSE
         while self._still_leads(runner.cluster, member):
+            # Another one may lead if only its entry says that this one does.
+            runner.cluster.find_leader()
             assessment = await self._assess(runner, member)
             if assessment is None:
                 break
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -62,6 +62,37 @@
     assert tokens == sorted(tokens)
 
 
+async def test_former_leader_is_not_trusted_in_restored_store(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against a second promotion because of an old entry (ONE).
+
+    The copy says that a database leads which has failed and was replaced since;
+    a daemon that is killed starts from that.
+    """
+    site = platform_site
+    copy = site.platform.copy()
+    caller = await site.caller(PRIMARY_ROUTE)
+    assert not (await caller.run('WRITE a 1')).code
+    await site.leader.stop()
+    await wait_until(lambda: site.leader.server_id != 'db-0')
+    site.platform.remove_entry('db-0')
+    orders = len(site.platform.orders)
+    settings = site.nodes[0]._settings
+    await site.nodes[0].abort()
+    site.platform.restore(copy)
+    node = await site.add_node(settings)
+    await wait_until(lambda: node.ready)
+    started = asyncio.get_running_loop().time()
+    caller = await site.caller(PRIMARY_ROUTE, 3)
+    while (await caller.run('WRITE a 2')).code:
+        await asyncio.sleep(0.02)
+    took = asyncio.get_running_loop().time() - started
+    assert took < _REWRITE_TIME
+    await asyncio.sleep(_REWRITE_TIME)
+    assert len(site.platform.orders) == orders
+
+
 async def test_restored_store_hides_no_changes(
     platform_site: SiteStandIn,
 ) -> None:
@@ -110,7 +141,7 @@
 
 
 @fixture
-async def delegating_site() -> AsyncIterator[SiteStandIn]:
+async def gossip_only_site() -> AsyncIterator[SiteStandIn]:
     """Yield a site where three of six daemons follow the store."""
     with (
         mock.patch.object(delegate_selection, '_SMALL_SITE', 3),
@@ -124,14 +155,14 @@
 
 
 async def test_restored_store_keeps_peers_informed(
-    delegating_site: SiteStandIn,
+    gossip_only_site: SiteStandIn,
 ) -> None:
     """Guards against daemons that ignore entries of lower versions (DRAIN).
 
     A daemon that does not follow the store has entries of a version that the
     restored store has not reached again.
     """
-    site = delegating_site
+    site = gossip_only_site
     copy = site.platform.copy()
     for _ in range(8):
         site.platform.write_entry(site.databases[2])
@@ -147,14 +178,14 @@
 
 
 async def test_expired_entry_is_dropped_by_all_daemons(
-    delegating_site: SiteStandIn,
+    gossip_only_site: SiteStandIn,
 ) -> None:
     """Guards against daemons that go on using a server that has left (DRAIN).
 
     Its entry is removed while the delegates can't reach the store, so that they
     wait whether it comes back; the others only hear from the delegates.
     """
-    site = delegating_site
+    site = gossip_only_site
     site.platform.faults.status = 503
     await site.databases[1].stop()
     # Long polls in progress return with this change; the next ones are refused.
@@ -166,14 +197,14 @@
 
 
 async def test_missing_entry_is_dropped_by_all_daemons(
-    delegating_site: SiteStandIn,
+    gossip_only_site: SiteStandIn,
 ) -> None:
     """Guards against daemons that go on using a server that has left (DRAIN).
 
     The delegates read the whole table, in which its entry is missing; there is
     no change of a later version that they could tell the others.
     """
-    site = delegating_site
+    site = gossip_only_site
     site.platform.faults.status = 503
     await site.databases[1].stop()
     site.platform.write_entry(site.databases[2])
