Restore lost configurations of the MySQL interface

What callers would see: an accepted configuration that is not in force everywhere, or comes back older (CONFIG). Looked for as the same cause elsewhere: the table service of the MySQL interface is a store as well, and may come back from an older copy.

Cause: monsoonctl numbered a change by the stored version plus one. After a restore that number is the one of a lost version, which daemons still have in force; they refuse the other document for its digest. And nobody wrote the lost version back, so that daemons that start while no other runs read the older one.

monsoonctl passes over versions that the archive has. A daemon that reads the store, and finds an older version or none, writes the document in force back, conditional on what it read, and tries again at a later read if that fails.

Open: a change that is accepted before a daemon has written the lost version back, while the archive has lost it too, gets its number; daemons log that they refuse it.

--- a/monsoonproxy/configuration_gossip.py
+++ b/monsoonproxy/configuration_gossip.py
@@ -147,8 +147,23 @@
     document: bytes = attrs.field(repr=False)
 
 
+@attrs.frozen
+class WriteBack:
+    """Write the document in force to the store, which has an older one.
+
+    :param document: The uncompressed document.
+    """
+
+    document: bytes = attrs.field(repr=False)
+
+
 Command: TypeAlias = (
-    SendAnnouncement | FetchFrom | SendDocument | ReadStore | PutInForce
+    SendAnnouncement
+    | FetchFrom
+    | SendDocument
+    | ReadStore
+    | PutInForce
+    | WriteBack
 )
 
 
@@ -227,6 +242,9 @@
                 yield ReadStore()
             case StoreRead(version, document):
                 yield from self._accept(version, document, now)
+                if version < self.version and self._is_reader:
+                    # The store was restored from an older copy.
+                    yield WriteBack(zlib.decompress(self._compressed))
             case StoreFailed() if self.version == 0:
                 self._back_off(now)
             case PeersChanged(hosts):
--- a/monsoonproxy/configuration_store.py
+++ b/monsoonproxy/configuration_store.py
@@ -143,7 +143,7 @@
         await platform.put_object(_object_key(current.version), stored.body)
     wanted = attrs.evolve(
         wanted,
-        version=current.version + 1,
+        version=await _next_version(platform, current.version),
         change=attrs.evolve(change, identity=uuid.uuid4().hex),
     )
     document = wanted.to_document()
@@ -152,6 +152,18 @@
     return Applied(wanted.version, changes, archived)
 
 
+async def _next_version(platform: Platform, current: int) -> int:
+    """Return a version above the current one that no daemon can have.
+
+    If the table service was restored from an older copy, the archive has the
+    versions that it lost, and daemons still have them in force.
+    """
+    version = current + 1
+    while await platform.get_object(_object_key(version)) is not None:
+        version += 1
+    return version
+
+
 async def _write(platform: Platform, document: bytes, before: _Stored) -> None:
     try:
         await platform.write(CONFIGURATION_KEY, document, before.etag)
--- a/monsoonproxy/control.py
+++ b/monsoonproxy/control.py
@@ -192,22 +192,21 @@
             self._run_command(command)
 
     def _run_command(self, command: configuration_gossip.Command) -> None:
-        if isinstance(command, configuration_gossip.SendAnnouncement):
-            self._tasks.spawn(self._announce(command.peer, command.version))
-        elif isinstance(command, configuration_gossip.FetchFrom):
-            message: messages.Message = messages.FetchConfiguration(
-                command.version
-            )
-            self._tasks.spawn(self._send(command.peer, message))
-        elif isinstance(command, configuration_gossip.SendDocument):
-            message = messages.ConfigurationDocument(
-                command.version, command.document
-            )
-            self._tasks.spawn(self._send(command.peer, message))
-        elif isinstance(command, configuration_gossip.ReadStore):
-            self.read_store()
-        else:
-            self._apply_configuration(command.document)
+        match command:
+            case configuration_gossip.SendAnnouncement(peer, version):
+                self._tasks.spawn(self._announce(peer, version))
+            case configuration_gossip.FetchFrom(peer, version):
+                request = messages.FetchConfiguration(version)
+                self._tasks.spawn(self._send(peer, request))
+            case configuration_gossip.SendDocument(peer, version, document):
+                reply = messages.ConfigurationDocument(version, document)
+                self._tasks.spawn(self._send(peer, reply))
+            case configuration_gossip.ReadStore():
+                self.read_store()
+            case configuration_gossip.WriteBack(document):
+                self._tasks.spawn(self._write_back(document))
+            case configuration_gossip.PutInForce(document=document):
+                self._apply_configuration(document)
 
     def _apply_configuration(self, document: bytes) -> None:
         try:
@@ -272,6 +271,7 @@
         finally:
             self._store_read_pending = False
         if stored is None:
+            self._stored_etag = ''
             self._handle(configuration_gossip.StoreRead(0))
             return
         if stored.etag == self._stored_etag:
@@ -291,6 +291,24 @@
             return
         self._handle(configuration_gossip.StoreRead(cfg.version, stored.body))
 
+    async def _write_back(self, document: bytes) -> None:
+        """Write the configuration in force to a store that has lost it.
+
+        The write is conditional on what was read, so that it undoes no change
+        that an operator makes meanwhile.
+        """
+        _log.warning(
+            'The table service has an older configuration; writing version {}'
+            ' back',
+            self.version,
+        )
+        etag, self._stored_etag = self._stored_etag or None, ''
+        try:
+            await self._platform.write(CONFIGURATION_KEY, document, etag)
+        except PlatformError as exc:
+            # The next read shows what is stored.
+            _log.info('Writing the configuration back failed: {}', exc)
+
 
 def _zone_of(peer: str, message: messages.Message) -> str:
     hosts = getattr(message, 'hosts', [])
