--- a/emulator/ports.py
+++ b/emulator/ports.py
@@ -10,8 +10,8 @@
 _START_TIMEOUT = 20
 _POLL_PAUSE = 0.05
 _FIRST_PORT = 10_000
-_BLOCKS = 200
-_BLOCK_SIZE = 100
+_BLOCKS = 100
+_BLOCK_SIZE = 200
 _block = _FIRST_PORT + os.getpid() % _BLOCKS * _BLOCK_SIZE
 _ports = itertools.cycle(range(_block, _block + _BLOCK_SIZE))
 
