--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,8 @@
 import tempfile
 from typing import Any
 
+import cappa
+import soak
 from stand_ins.databases import Group, LogEntry
 from stand_ins.sessions import ExecutedStatement, signature
 from stand_ins.site import Reply
@@ -230,6 +232,15 @@
         assert result.outcomes['answered'] > 0
 
 
+def test_command_line_of_soak() -> None:
+    """Guards against options that can't be left out, as the manual does."""
+    found = cappa.parse(soak.Soak, argv=['--seeds', '1-50', '--seconds', '20'])
+    assert (found.seeds, found.seconds) == ('1-50', 20)
+    assert found.only is None
+    chosen = cappa.parse(soak.Soak, argv=['--only', 'kill,roll'])
+    assert chosen.only == 'kill,roll'
+
+
 async def test_soak_of_restored_store() -> None:
     """Guards against violated guarantees when the store goes back in time.
 
