--- a/monsoonproxy/catalog.py
+++ b/monsoonproxy/catalog.py
@@ -185,8 +185,13 @@
             return
         now = self._shared.clock.now()
         before = self._revision
-        if 0 < before.era < changes.revision.era:
-            _log.info('The store was restored; its entries may be older')
+        if before > Revision() and before.era < changes.revision.era:
+            _log.info(
+                'Entries are of era {} of the store instead of {}; some may be'
+                ' older than known ones',
+                changes.revision.era,
+                before.era,
+            )
             self._servers.start_distrust(now)
         was_unavailable = self._servers.is_distrusting(now) or (
             failed_at > 0 and now - failed_at < _LAPSE_WINDOW
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -234,6 +234,21 @@
     assert _all_see_leaving(site, 'db-1')
 
 
+async def test_first_era_of_restored_store() -> None:
+    """Guards against a restore that is not noticed (DRAIN).
+
+    The store sends an era only once it was restored.
+    """
+    site = SiteStandIn()
+    site.platform.era = 0
+    async with running_site(site):
+        copy = site.platform.copy()
+        _drain(site, site.databases[1])
+        await wait_until(lambda: _all_see_leaving(site, 'db-1'))
+        site.platform.restore(copy)
+        await _hold_for(_REWRITE_TIME, lambda: _all_see_leaving(site, 'db-1'))
+
+
 async def test_departed_server_is_not_back_in_restored_store(
     platform_site: SiteStandIn,
 ) -> None:
