Reset connections of withdrawn statements, and wait for queued ones

Cause: a late attempt was withdrawn by closing its socket. The kernel still delivers what a partition has held back, and a backend server runs a statement in its queue although the connection is gone.

Ruled out: lenders, which check a time before they forward.

Change: connections to backend servers have SO_LINGER with time 0 from the start, so that each end resets them, also that of the process. A change of session values waits 300 ms for the answers of late attempts, then cancels them, and waits until 1 s after a statement was sent whose end is not confirmed; this covers reads, writes, transactions and commits in doubt. Links of the tests drop what a reset connection had sent.

test_session_change_awaits_cancelled_read assumed that the read is cancelled at once. It waits for the time of the answers now, with the same assertions.

--- a/emulator/loopback.py
+++ b/emulator/loopback.py
@@ -17,7 +17,7 @@
     """What is wrong with a link.
 
     Bytes that are held back arrive once the trouble ends, as TCP sends them
-    again.
+    again. They are lost if their sender has reset the connection meanwhile.
 
     :param share: Share of the connections that it affects.
     :param delay: Time in s by which each chunk is late.
@@ -154,6 +154,8 @@
                 await asyncio.sleep(self._trouble.delay)
             while connection.affected and self._mutes(is_request=is_request):
                 await self._changed.wait()
+            if reader.exception() is not None:
+                return
             writer.write(chunk)
             await writer.drain()
 
--- a/monsoonproxy/client_sessions.py
+++ b/monsoonproxy/client_sessions.py
@@ -24,6 +24,12 @@
 )
 
 
+#: Time in ms for which a change of session values waits for the answers of late
+#: attempts before it cancels them. Statements queue for up to 0.2 s at a busy
+#: backend server.
+_ANSWER_WAIT = Millis(300)
+
+
 class _Connection(Protocol):
     def withdraw(self) -> None:
         """Cancel the exchange that is in progress on the connection."""
@@ -66,8 +72,9 @@
         reads must reflect on routes with session consistency.
     :param late_attempts: Attempts still running after their statement was
         answered.
-    :param runs_until: Time until which a lending daemon that was suspended may
-        still forward an attempt whose end was not confirmed.
+    :param runs_until: Time until which an attempt whose end was not confirmed
+        may still run: a lending daemon that was suspended may forward it, or a
+        backend server may have it in its queue.
     """
 
     number: int
@@ -96,20 +103,29 @@
         self.runs_until = max(self.runs_until, Millis(time))
 
     async def end_late_attempts(self, clock: Clock) -> None:
-        """Cancel late attempts and wait until none of them can run any more.
+        """End late attempts and wait until none of them can run any more.
+
+        Those that are not answered soon are cancelled.
 
         :param clock: Source of time.
         """
-        tasks = []
+        await self._wait_for_late_attempts(_ANSWER_WAIT)
         for attempt in tuple(self.late_attempts):
             attempt.withdraw()
-            tasks.append(attempt.task)
-        if tasks:
-            await asyncio.wait(filter(None, tasks))
+        await self._wait_for_late_attempts()
         left = self.runs_until - clock.now()
         if left > 0:
             await asyncio.sleep(seconds(left))
 
+    async def _wait_for_late_attempts(
+        self, limit: Millis | None = None
+    ) -> None:
+        tasks = [each.task for each in self.late_attempts if each.task]
+        if tasks:
+            await asyncio.wait(
+                tasks, timeout=None if limit is None else seconds(limit)
+            )
+
     def advance_floor(self, position: Position | None) -> None:
         """Raise the floor of the session to the position of a commit.
 
--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -32,6 +32,10 @@
 #: Longest time in ms for the answer to a leader probe. Probes need no slot of
 #: the backend server, so they don't wait behind statements.
 PROBE_TIMEOUT = Millis(300)
+#: Time in ms after a statement was sent within which a backend server that has
+#: received it begins to run it: it queues 16 statements, and a slow one takes
+#: 50 ms for each. Closing its connection does not stop it before.
+_QUEUE_TIME = Millis(1_000)
 
 
 class NotLeadingError(MonsoonError):
@@ -466,10 +470,15 @@
                 self.suspect(lease.member)
                 address = lease.member.server.address
                 raise ConnectionLostError(
-                    f'{address}: no answer within {limit:.0f} ms', sent=True
+                    f'{address}: no answer within {limit:.0f} ms',
+                    sent=True,
+                    runs_until=lease.conn.sent_at + _QUEUE_TIME,
                 ) from None
-            except ConnectionLostError:
+            except ConnectionLostError as exc:
                 self.suspect(lease.member)
+                exc.runs_until = max(
+                    exc.runs_until, lease.conn.sent_at + _QUEUE_TIME
+                )
                 raise
 
     @contextlib.contextmanager
--- a/monsoonproxy/exceptions.py
+++ b/monsoonproxy/exceptions.py
@@ -92,8 +92,9 @@
 
     :param sent: Whether the statement may have reached the backend server.
     :param refused: Whether the backend server's host refused the connection.
-    :param runs_until: Time in ms, by this daemon's clock, until which a lending
-        daemon may still forward the statement.
+    :param runs_until: Time in ms, by this daemon's clock, until which the
+        statement may still begin to run: a lending daemon may forward it, or
+        the backend server may have it in its queue.
     """
 
     def __init__(
--- a/monsoonproxy/server_connections.py
+++ b/monsoonproxy/server_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from typing import Any
 
 from monsoonproxy.clock import Clock, Millis, seconds
@@ -21,6 +22,8 @@
 #: Time for which sent bytes may stay unacknowledged before the kernel closes
 #: the connection.
 _USER_TIMEOUT_MS = 2_000
+#: Value of SO_LINGER that makes each close reset the connection.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 #: Limit of prepared statements on a connection. It is reset before another one
 #: would be prepared.
 _MAX_PREPARED = 64
@@ -152,11 +155,14 @@
         return waiter
 
     def withdraw(self) -> None:
-        """Cancel the exchange, which takes closing the connection."""
+        """Cancel the exchange, which takes resetting the connection."""
         self.abort()
 
     def abort(self) -> None:
-        """Close the connection at once; the backend server rolls back."""
+        """Reset the connection; the backend server rolls back.
+
+        Statements that have not arrived there yet are lost.
+        """
         self.closed = True
         if self._transport is not None:
             self._transport.abort()
@@ -175,7 +181,11 @@
         :param transport: The transport.
         """
         self._transport = transport
-        configure_keepalive(transport.get_extra_info('socket'))
+        sock = transport.get_extra_info('socket')
+        configure_keepalive(sock)
+        # Without a reset, the kernel still delivers a statement that a
+        # partition held back, also after this process has ended.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
     def data_received(self, data: bytes) -> None:
         """Collect the answers of the exchange that is in progress.
--- a/monsoonproxy/transaction_affinity.py
+++ b/monsoonproxy/transaction_affinity.py
@@ -304,6 +304,7 @@
                     return self._handle_commit_answer(stmt, lease, answer)
                 await self.runner.back_off(stmt)
         except ConnectionLostError as exc:
+            stmt.session.extend_runs_until(exc.runs_until)
             # Without writes there is nothing whose commit could be in doubt.
             code = Code.IN_DOUBT if self.has_written else Code.ABORTED
             return self._end_answer(code, str(exc))
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -1,6 +1,7 @@
 """Tests of attempts still in progress after their statement was answered."""
 
 import asyncio
+import random
 from collections.abc import AsyncIterator
 from functools import partial
 from unittest import mock
@@ -8,9 +9,10 @@
 import attrs
 from stand_ins.site import SERVICE, SESSION_ROUTE, Caller, SiteStandIn
 
+from emulator.loopback import Link, Trouble
 from monsoonproxy import connection_plans, relay_messages
-from monsoonproxy.client_sessions import Session
-from monsoonproxy.clock import Clock
+from monsoonproxy.client_sessions import _ANSWER_WAIT, Session
+from monsoonproxy.clock import Clock, seconds
 from monsoonproxy.connection_pools import LeaseRequest
 from monsoonproxy.members import Member
 from monsoonproxy.node import Node
@@ -113,7 +115,8 @@
         assert not (await caller.run('READ a', 'late')).code
         assert held
         setting = asyncio.ensure_future(caller.run('SET crew 2'))
-        await asyncio.sleep(0.1)
+        # The read is cancelled only after a wait for its answer.
+        await asyncio.sleep(seconds(_ANSWER_WAIT) + 0.1)
         assert not setting.done()
         resumed.set()
         assert not (await setting).code
@@ -182,3 +185,66 @@
     assert not (await caller.run('SET crew 2')).code
     assert not late
     assert all(getattr(wire, 'closed', False) for wire in wires)
+
+
+async def test_partition_delivers_no_cancelled_read() -> None:
+    """Guards against a cancelled read that the kernel still delivers (PINNED).
+
+    Pattern: a partition holds back a read that was written to a socket.
+    Another database answers, the caller changes its session values, and the
+    partition ends.
+    """
+    site = SiteStandIn()
+    links = await _add_links(site)
+    async with running_site(site):
+        caller = await site.caller(SESSION_ROUTE)
+        await caller.run('SET crew 1')
+        for number in range(6):
+            assert not (await caller.run('READ a', f'early-{number}')).code
+        for link in links:
+            link.disturb(Trouble(mutes_requests=True))
+        assert not (await caller.run('READ a', 'late')).code
+        assert _session(site.nodes[0]).late_attempts
+        assert not (await caller.run('SET crew 2')).code
+        for healed in links:
+            healed.heal()
+        await asyncio.sleep(0.3)
+        runs = statement_runs(site, 'late')
+        assert [run.server_id for run in runs] == [site.leader.server_id]
+        for closed in links:
+            closed.close()
+
+
+async def test_session_change_awaits_queued_read(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against a cancelled read that waits for a slot (PINNED).
+
+    Pattern: databases are busy, so that a read is sent to two of them. One
+    answers, the caller changes its session values, and the other one runs the
+    read when a slot becomes free, although its connection is closed.
+    """
+    caller = await platform_site.caller(SESSION_ROUTE)
+    await caller.run('SET crew 1')
+    assert not (await caller.run('READ a')).code
+    for database in platform_site.databases:
+        if not database.leads:
+            database.faults.work = 0.25
+    assert not (await caller.run('READ a', 'late')).code
+    assert _session(platform_site.nodes[0]).late_attempts
+    assert not (await caller.run('SET crew 2')).code
+    ended = len(statement_runs(platform_site, 'late'))
+    await asyncio.sleep(0.6)
+    assert len(statement_runs(platform_site, 'late')) == ended
+
+
+async def _add_links(site: SiteStandIn) -> list[Link]:
+    """Put a link in front of each replica; call before the site starts."""
+    links = []
+    for database in site.databases:
+        if not database.leads:
+            link = Link(partial(getattr, database, 'address'), random.Random(0))
+            await link.start()
+            database.advertised_address = link.address
+            links.append(link)
+    return links
