Answer statements of transactions while a daemon stops

Cause: transactions were ended once, at half of the grace period, but not those with a statement under way. They went on until the daemon closed everything at 0.9 of it, with statements on their way.

Change: from half of the grace period, a transaction is ended when its running statement has been answered, and statements outside transactions are refused as not run. Nothing that arrives later is passed on.

--- a/monsoonproxy/client_connections.py
+++ b/monsoonproxy/client_connections.py
@@ -68,6 +68,8 @@
         self.session_numbers = itertools.count(1)
         self.connections: set[ClientConnection] = set()
         self.closing = False
+        #: Why no more statements are run; empty while they are.
+        self.stop_reason = ''
         self.max_connections = max_connections
         self._server: asyncio.Server | None = None
 
@@ -99,12 +101,14 @@
                 connection.close_if_idle()
 
     def end_transactions(self, reason: str) -> None:
-        """Roll back all open transactions without a running statement.
+        """Roll back all transactions, and run no more statements.
 
-        A caller is told when it sends its next statement.
+        Running statements are answered first. A caller is told when it sends
+        its next statement.
 
         :param reason: Human-readable explanation for the callers.
         """
+        self.stop_reason = reason
         for connection in tuple(self.connections):
             connection.end_transaction(reason)
 
@@ -305,11 +309,20 @@
             )
             return
         started = self._listener.clock.now()
-        answer = await handler.run(query)
+        answer = await self._run(handler, query)
         took = Millis(self._listener.clock.now() - started)
         self._listener.observer.statement_ended(handler, query, answer, took)
         self._write(answer)
 
+    async def _run(self, handler: SessionHandler, query: Query) -> Answer:
+        listener = self._listener
+        if listener.stop_reason and handler.transaction is None:
+            return handler.refuse(listener.stop_reason)
+        answer = await handler.run(query)
+        if listener.stop_reason and handler.state is TransactionState.OPEN:
+            handler.abort(listener.stop_reason)
+        return answer
+
     def _answer_malformed(self, message: MalformedMessage) -> None:
         if self.handler is None or message.fatal:
             self._refuse(message.code, message.reason)
--- a/monsoonproxy/session_handlers.py
+++ b/monsoonproxy/session_handlers.py
@@ -90,6 +90,15 @@
             )
         return await _VERB_HANDLERS[query.verb](self, query)
 
+    def refuse(self, reason: str) -> Answer:
+        """Answer that a statement is not run, and may be sent again.
+
+        :param reason: Human-readable explanation for the caller.
+        :returns: The answer.
+        """
+        self.stmt = None
+        return self._fail(Code.BUSY, reason)
+
     def end(self) -> None:
         """Roll back the open transaction, if there is one."""
         transaction, self.transaction = self.transaction, None
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,6 +5,7 @@
 import itertools
 import pathlib
 import random
+import time
 
 import attrs
 
@@ -167,10 +168,12 @@
             if deployment.is_disturbed():
                 await _restart_some(site, stops)
             await asyncio.sleep(_SETTLING)
+        # Cancelling the clients ends the statements that are under way.
+        ended_at = time.monotonic()
         for task in tasks:
             task.cancel()
         executed = site.group.executed
-    _judge(executed, log, stops)
+    _judge(executed, [sent for sent in log if sent.ended_at < ended_at], stops)
 
 
 def _judge(
--- a/tests/test_platform_transactions.py
+++ b/tests/test_platform_transactions.py
@@ -1,9 +1,11 @@
 """Tests of transactions and shutdown through complete daemons."""
 
 import asyncio
+import contextlib
+import itertools
 import time
 
-from stand_ins.site import SESSION_ROUTE, SiteStandIn
+from stand_ins.site import SESSION_ROUTE, Caller, SiteStandIn
 
 from tests.fixtures import load_functions
 from tests.platform_sites import statement_runs, wait_until
@@ -150,3 +152,63 @@
     await stopping
     assert time.monotonic() - started < 3
     assert not platform_site.leader.log
+
+
+async def test_shutdown_answers_running_transactions(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against statements of transactions that a shutdown cuts off.
+
+    Pattern: transactions run one statement after another while the daemon
+    stops (LOST).
+    """
+    for database in platform_site.databases:
+        database.faults.work = 0.02
+    node = platform_site.nodes[0]
+    callers = [await platform_site.caller(SESSION_ROUTE) for _ in range(20)]
+    running = [asyncio.create_task(_run_until_closed(each)) for each in callers]
+    await asyncio.sleep(0.2)
+    await node.stop()
+    for unanswered in await asyncio.gather(*running):
+        assert not unanswered
+
+
+async def test_shutdown_refuses_late_statements(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against statements that begin when a daemon is about to end."""
+    node = platform_site.nodes[0]
+    busy = await platform_site.caller(SESSION_ROUTE)
+    await busy.run('BEGIN')
+    await busy.run('READ a')
+    stopping = asyncio.create_task(node.stop())
+    await asyncio.sleep(1.8)
+    assert (await busy.run('READ a')).code == 'ABORTED'
+    busy.send(
+        b'QUERY end ROLLBACK\r\nQUERY late READ a\r\nQUERY late BEGIN\r\n'
+    )
+    assert not (await busy.reply()).code
+    assert [(await busy.reply()).code for _ in range(2)] == ['BUSY', 'BUSY']
+    await stopping
+    assert not statement_runs(platform_site, 'late')
+
+
+async def _run_until_closed(caller: Caller) -> list[str]:
+    """Run transactions until the daemon closes the connection.
+
+    :returns: The statements that were sent and not answered, unless the
+        connection was idle.
+    """
+    sent: list[str] = []
+    with contextlib.suppress(ConnectionError):
+        for _ in itertools.repeat(None):
+            await _run_transaction(caller, sent)
+    return [text for text in sent[-1:] if text != 'BEGIN']
+
+
+async def _run_transaction(caller: Caller, sent: list[str]) -> None:
+    for text in ('BEGIN', *itertools.repeat('READ a', 40), 'COMMIT'):
+        sent.append(text)
+        if (await caller.run(text)).code:
+            await caller.run('ROLLBACK')
+            return
