Replace a leaving leader without losing commits or its drain time

Cause: a planned change needed a replica with the leader's position and was tried for ever without one. Nothing knew the drain time, and commits were acknowledged after 300 ms although no replica had them.

Ruled out: an early promotion of the most advanced replica, which loses the commits that it lacks for certain while the leader may still pass them on.

Change: drain time as a setting; a leader gets nothing from 1 s before its end; writes are refused while no replica has the commits of a leader that leaves; the successor has to reach the position that the leader had after the announcement.

--- a/monsoonproxy/candidates.py
+++ b/monsoonproxy/candidates.py
@@ -38,7 +38,7 @@
     if cluster.rules.synchronous:
         # No commit may be acknowledged after the positions are read, or the
         # chosen candidate might lack it.
-        text = dialect.pause(cluster.leadership.term + 1)
+        text = dialect.pause(cluster.lead.leadership.term + 1)
     else:
         text = dialect.status()
     received = None
--- a/monsoonproxy/catalog.py
+++ b/monsoonproxy/catalog.py
@@ -1,6 +1,7 @@
 """Services, routes and backend servers that a daemon knows."""
 
 from collections.abc import Callable, Iterable
+from functools import partial
 
 from monsoonproxy.clock import Millis
 from monsoonproxy.clusters import Cluster
@@ -252,7 +253,7 @@
 
     def _start(self, name: str, rules: ServiceRules) -> None:
         cluster = Cluster(rules, self._shared)
-        cluster.on_leader_suspected = self.on_leader_suspected
+        cluster.lead.on_suspected = partial(self.on_leader_suspected, cluster)
         self.runners[name] = StatementRunner(cluster, LeaderMonitor(cluster))
         for server in self._servers.of(name):
             cluster.put(server)
--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Iterator
 from functools import partial
 
 import attrs
 
-from monsoonproxy import floors, selection
+from monsoonproxy import selection
 from monsoonproxy.clock import Millis, seconds
 from monsoonproxy.connection_plans import ConnectionPlan
 from monsoonproxy.connection_pools import (
@@ -18,16 +18,13 @@
     ServerRemovedError,
 )
 from monsoonproxy.exceptions import ConnectionLostError, MonsoonError
-from monsoonproxy.leadership import Leadership
-from monsoonproxy.logs import log_for
 from monsoonproxy.members import ClusterContext, Member, MemberFactory
 from monsoonproxy.models import Position, Role
 from monsoonproxy.overdue_timers import OVERDUE_INTERVAL, OverdueTimer
 from monsoonproxy.queries import INTERNAL_ID, Answer, Code, TransactionState
 from monsoonproxy.routes import ServiceRules
 from monsoonproxy.servers import Server
-
-_log = log_for('cluster')
+from monsoonproxy.service_leader import ServiceLeader
 
 #: Longest time in ms for the answer to a leader probe. Probes need no slot of
 #: the backend server, so they don't wait behind statements.
@@ -77,32 +74,18 @@
         self.dialect = shared.dialect
         self.clock = shared.clock
         self.telemetry = shared.telemetry
-        self.floors = floors.Floors()
-        self.leadership = Leadership()
         self.members: dict[str, Member] = {}
-        #: Called with the identity of the leader when it may have failed.
-        self.on_leader_suspected: Callable[[Cluster, str], None] = _ignore
-        #: Called to start the search for a leader.
-        self.on_leaderless: Callable[[], None] = _do_nothing
+        self.lead = ServiceLeader(rules.name, self.members, shared.clock)
         #: How the daemons share connections; ``None`` until the number of
         #: daemons is known.
         self.plan: ConnectionPlan | None = None
-        self.leaderless_since: Millis | None = None
-        #: When a statement last waited for a leader.
-        self.leader_wanted_at = Millis(0)
         self._shared = shared
         self._factory = MemberFactory(shared)
-        self._changed = asyncio.Event()
 
     @property
     def leader(self) -> Member | None:
-        """Return the backend server to send writes to.
-
-        :returns: The confirmed leader, or else the one last reported as such;
-            ``None`` if there is neither.
-        """
-        believed = self.leadership.likely_leader()
-        return self.members.get(believed) if believed else None
+        """Return the backend server to send writes to, if one is known."""
+        return self.lead.member
 
     @property
     def slots(self) -> int:
@@ -139,12 +122,14 @@
         if member is None:
             self._add(server)
         else:
-            member.server = server
+            member.update_entry(server, self.clock.now(), self._shared.drain)
         if server.role is Role.REPLICA:
-            self.leadership.withdraw_claim(server.server_id)
+            self.lead.leadership.withdraw_claim(server.server_id)
         elif not was_primary:
-            self.leadership.record_claim(server.server_id, self.clock.now())
-        self._notify_changed()
+            self.lead.leadership.record_claim(
+                server.server_id, self.clock.now()
+            )
+        self.lead.notify_changed()
 
     def remove(self, server_id: str) -> None:
         """Remove a backend server and close the connections to it.
@@ -156,8 +141,7 @@
             return
         member.borrowed.close()
         member.direct.close()
-        self.leadership.forget(server_id)
-        self._notify_changed()
+        self.lead.forget(member)
 
     def close(self) -> None:
         """Close all connections at once, including leased ones."""
@@ -247,10 +231,10 @@
         answer = await self.internal_statement(lease, text, limit)
         if answer.code is Code.READ_ONLY:
             lease.clean = True
-            self.mark_not_leading(lease.member)
+            self.lead.mark_not_leading(lease.member)
             raise NotLeadingError
         if answer.succeeded:
-            self.confirm_leader(lease, answer)
+            self.lead.confirm(lease.member, lease.conn.sent_at, answer)
         return answer
 
     async def internal_statement(
@@ -302,82 +286,6 @@
             limiter.record_answer(answer, self.clock.now())
         return answers
 
-    # The leader.
-
-    def confirm_leader(self, lease: Lease, answer: Answer) -> None:
-        """Record an answer which proves that a backend server was the leader.
-
-        :param lease: The leased connection.
-        :param answer: Answer to a statement that only a leader accepts.
-        """
-        if answer.position is None:
-            return
-        name = lease.member.server.server_id
-        self.floors.add(lease.conn.sent_at, answer.position)
-        self.leaderless_since = None
-        before = self.leader
-        if self.leadership.record_acceptance(name, answer.position.term):
-            _log.info('{} is the leader in term {}', name, answer.position.term)
-            if before is not None and before is not lease.member:
-                before.interrupt()
-            self._notify_changed()
-
-    def mark_not_leading(self, member: Member) -> None:
-        """Record that a backend server refused a write, or has failed.
-
-        Requests that wait for connections to the believed leader fail. The
-        search for a leader starts unless another one is confirmed.
-
-        :param member: The backend server.
-        """
-        name = member.server.server_id
-        was_believed = member is self.leader
-        if self.leadership.record_refusal(name, self.clock.now()):
-            _log.info('{} is no longer the leader', name)
-        if was_believed:
-            member.interrupt()
-            self._notify_changed()
-        self.find_leader()
-
-    def find_leader(self) -> None:
-        """Start the search for a leader, unless one is confirmed."""
-        if self.leadership.leader is not None:
-            return
-        if self.leaderless_since is None:
-            self.leaderless_since = self.clock.now()
-        self.on_leaderless()
-
-    def suspect(self, member: Member) -> None:
-        """Suspect a backend server that did not answer, if it is the leader.
-
-        :param member: The backend server.
-        """
-        if member is self.leader:
-            self.on_leader_suspected(self, member.server.server_id)
-
-    async def wait_for_leader(self, limit: float) -> Member | None:
-        """Wait until a leader is confirmed or reported.
-
-        :param limit: Longest wait in ms.
-        :returns: The leader, or ``None`` if there is none in time.
-        """
-        deadline = self.clock.now() + limit
-        while self.leader is None and deadline > self.clock.now():
-            self.leader_wanted_at = self.clock.now()
-            self.find_leader()
-            await self.wait_for_change(deadline - self.clock.now())
-        return self.leader
-
-    async def wait_for_change(self, limit: float) -> None:
-        """Wait until the backend servers or the leader change.
-
-        :param limit: Longest wait in ms.
-        """
-        changed = self._changed
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(seconds(max(1, int(limit)))):
-                await changed.wait()
-
     async def probe(
         self,
         member: Member,
@@ -438,8 +346,8 @@
 
     def _add(self, server: Server) -> None:
         member = self._factory.make(server, self.rules)
-        member.direct.on_failure = partial(self.suspect, member)
-        member.borrowed.on_failure = partial(self.suspect, member)
+        member.direct.on_failure = partial(self.lead.suspect, member)
+        member.borrowed.on_failure = partial(self.lead.suspect, member)
         self.members[server.server_id] = member
         member.pool.warm_up()
 
@@ -454,7 +362,7 @@
                     self.remove(member.server.server_id)
                 raise
             except ConnectionLostError:
-                self.suspect(member)
+                self.lead.suspect(member)
                 raise
         return Lease(self, member, pool, number, conn, request.single)
 
@@ -467,7 +375,7 @@
                     return await lease.conn.exchange(payload, count, limit)
             except TimeoutError:
                 lease.conn.abort()
-                self.suspect(lease.member)
+                self.lead.suspect(lease.member)
                 address = lease.member.server.address
                 raise ConnectionLostError(
                     f'{address}: no answer within {limit:.0f} ms',
@@ -475,7 +383,7 @@
                     runs_until=lease.conn.sent_at + _QUEUE_TIME,
                 ) from None
             except ConnectionLostError as exc:
-                self.suspect(lease.member)
+                self.lead.suspect(lease.member)
                 exc.runs_until = max(
                     exc.runs_until, lease.conn.sent_at + _QUEUE_TIME
                 )
@@ -500,21 +408,9 @@
             return
         if member.silent_since is None:
             member.silent_since = now
-        self.suspect(member)
-
-    def _notify_changed(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self.lead.suspect(member)
 
 
 def _was_replaced(old: Server, new: Server) -> bool:
     """Tell whether a backend server was restarted or moved."""
     return old.address != new.address or old.started_at != new.started_at
-
-
-def _ignore(_cluster: Cluster, _server_id: str) -> None:
-    """Default for :attr:`Cluster.on_leader_suspected`."""
-
-
-def _do_nothing() -> None:
-    """Default for :attr:`Cluster.on_leaderless`."""
--- a/monsoonproxy/handover.py
+++ b/monsoonproxy/handover.py
@@ -3,7 +3,8 @@
 A successor starts with the commits that it has received; later commits of the
 old leader are rolled back. So, from the time when the leader is about to leave
 or a successor is announced, a commit is acknowledged only once the successor
-has it.
+has it. While no other backend server receives the commits of a leader that
+leaves, writes are refused: they would be lost with it.
 """
 
 import asyncio
@@ -12,7 +13,6 @@
 from monsoonproxy.clock import Millis, seconds
 from monsoonproxy.clusters import Cluster
 from monsoonproxy.connection_pools import LeaseRequest
-from monsoonproxy.leader_monitor import TAKEOVER_LIMIT
 from monsoonproxy.logs import log_for
 from monsoonproxy.members import Member
 from monsoonproxy.models import Position
@@ -21,12 +21,15 @@
 
 _log = log_for('handover')
 
-#: Longest time in ms by which an acknowledgement is held back while no
-#: successor is ordered to lead. Replicas are 8 to 20 ms behind; one that is
-#: far behind is not promoted in a planned change.
-_MAX_WAIT = Millis(300)
-#: Pause in ms between two reads of the successor's position.
+#: Time in ms without the commit at any other backend server after which further
+#: writes are refused while the leader leaves. Replicas are 8 to 60 ms behind.
+_STALL_TIME = Millis(300)
+#: Longest wait in ms for the position of a backend server.
+_POSITION_TIMEOUT = Millis(300)
+#: Pause in ms between two reads of the successors' positions, and the share of
+#: the time waited so far that it takes at least.
 _POLL_INTERVAL = 5
+_POLL_SHARE = 0.1
 
 
 async def hold_acknowledgement(
@@ -57,7 +60,7 @@
         request=stmt.request_id.decode(errors='replace'),
         position=str(position),
         server=name,
-        leader=runner.cluster.leadership.leader,
+        leader=runner.cluster.lead.leadership.leader,
     ).info('Commit not confirmed by the successor; its outcome is in doubt')
     return runner.failure(
         Code.IN_DOUBT,
@@ -69,79 +72,114 @@
 async def _wait_for_successor(
     cluster: Cluster, ran_at: str, position: Position, time_left: float
 ) -> bool:
-    """Wait until the expected successor has a commit.
+    """Wait until an expected successor has a commit.
 
-    :returns: Whether the commit is safe: the successor has it, or no change of
-        the leader is expected for now.
+    :returns: Whether the commit is safe: a successor has it, or no change of
+        the leader is expected.
     """
     began = cluster.clock.now()
-    while cluster.leadership.leader == ran_at:
-        member = _expected_successor(cluster)
-        if member is None or await _has_position(cluster, member, position):
+    while cluster.lead.leadership.leader == ran_at:
+        successors = _expected_successors(cluster)
+        if not successors:
+            return True
+        if await any_has_position(cluster, successors, position):
+            cluster.lead.mark_stalled(None)
             return True
         waited = cluster.clock.now() - began
         if waited >= time_left:
             return False
-        is_late = waited >= _MAX_WAIT and _ordered_successor(cluster) is None
-        if is_late and await _still_leads(cluster, ran_at):
-            return True
-        await asyncio.sleep(seconds(_POLL_INTERVAL))
+        if waited >= _STALL_TIME and cluster.lead.ordered_successor is None:
+            cluster.lead.mark_stalled(cluster.members.get(ran_at))
+        pause = max(_POLL_INTERVAL, waited * _POLL_SHARE)
+        await asyncio.sleep(seconds(1) * pause)
     return False
 
 
-async def _still_leads(cluster: Cluster, server_id: str) -> bool:
-    """Probe a backend server to tell whether it still leads."""
-    member = cluster.members.get(server_id)
-    answer = await cluster.probe(member) if member else None
-    return answer is not None and answer.succeeded
+async def check_stalled(cluster: Cluster) -> None:
+    """Run writes again if a replica has the commits of a leaving leader.
 
-
-def _ordered_successor(cluster: Cluster) -> Member | None:
-    """Return the backend server that was recently ordered to lead."""
-    now = cluster.clock.now()
-    name = cluster.leadership.successor(now, TAKEOVER_LIMIT)
-    return cluster.members.get(name) if name else None
+    :param cluster: The backend servers of the service.
+    """
+    leader, sample = cluster.leader, cluster.lead.floors.latest
+    if leader is None or sample is None:
+        return
+    staying = staying_members(cluster, leader)
+    if await any_has_position(cluster, staying, sample.position):
+        cluster.lead.mark_stalled(None)
 
 
-def _expected_successor(cluster: Cluster) -> Member | None:
-    """Return the backend server that is about to take the lead.
+def _expected_successors(cluster: Cluster) -> list[Member]:
+    """Return the backend servers of which one is about to take the lead.
 
-    :returns: The announced one, or else the one that started last, which is
-        preferred in a planned change; ``None`` if the leader stays.
+    :returns: The announced one, or else those that stay, of which the one that
+        started last is preferred; none if the leader stays.
     """
-    ordered = _ordered_successor(cluster)
+    ordered = cluster.lead.ordered_successor
     if ordered is not None:
-        return ordered
+        return [ordered]
     leader = cluster.leader
     if leader is None or not leader.server.leaving:
-        return None
+        return []
+    return staying_members(cluster, leader)
+
+
+def staying_members(cluster: Cluster, leader: Member) -> list[Member]:
+    """Return the backend servers that may succeed a leader that leaves.
+
+    :param cluster: The backend servers of the service.
+    :param leader: The leader.
+    :returns: Those that stay, the one that started last first: a release
+        replaces the oldest first.
+    """
     staying = (
         member
         for member in cluster.members.values()
         if member is not leader and not member.server.leaving
     )
-    return max(
-        staying, key=lambda member: member.server.started_at, default=None
+    return sorted(
+        staying, key=lambda member: member.server.started_at, reverse=True
     )
 
 
-async def _has_position(
+async def any_has_position(
+    cluster: Cluster, members: list[Member], position: Position
+) -> bool:
+    """Tell whether one of some backend servers has a log position.
+
+    :param cluster: The backend servers of the service.
+    :param members: Those to ask; the first one alone, then the others.
+    :param position: The position.
+    :returns: Whether one has it.
+    """
+    if not members or await has_position(cluster, members[0], position):
+        return bool(members)
+    asked = (has_position(cluster, each, position) for each in members[1:])
+    return any(await asyncio.gather(*asked))
+
+
+async def has_position(
     cluster: Cluster, member: Member, position: Position
 ) -> bool:
     """Tell whether a backend server has a log position.
 
     The read-only transaction that asks for it needs no slot.
+
+    :param cluster: The backend servers of the service.
+    :param member: The backend server.
+    :param position: The position.
+    :returns: Whether it answered that it has it.
     """
     dialect = cluster.dialect
     begin = dialect.begin(read_only=True)
+    request = LeaseRequest(_POSITION_TIMEOUT)
     try:
-        async with cluster.leased(member, LeaseRequest(_MAX_WAIT)) as lease:
+        async with cluster.leased(member, request) as lease:
             answer = await cluster.internal_statement(
-                lease, begin, _MAX_WAIT, position
+                lease, begin, _POSITION_TIMEOUT, position
             )
             if answer.state is not TransactionState.IDLE:
                 await cluster.internal_statement(
-                    lease, dialect.rollback(), _MAX_WAIT
+                    lease, dialect.rollback(), _POSITION_TIMEOUT
                 )
             lease.clean = True
     except CONNECTION_ERRORS as exc:
@@ -149,4 +187,11 @@
             'Position of {} not checked: {}', member.server.server_id, exc
         )
         return False
-    return answer.succeeded
+    # After a promotion, any position of the next term is greater, also in a log
+    # that lacks this one.
+    reached = answer.position
+    return (
+        answer.succeeded
+        and reached is not None
+        and reached.term == position.term
+    )
--- a/monsoonproxy/leader_monitor.py
+++ b/monsoonproxy/leader_monitor.py
@@ -9,11 +9,8 @@
 from monsoonproxy.leader_replacement import Reachability
 from monsoonproxy.members import Member
 from monsoonproxy.server_connections import DirectConnection, open_session
+from monsoonproxy.service_leader import TAKEOVER_LIMIT
 
-#: Longest time in ms that replacing a leader takes: failure detection, orders
-#: that are sent again, and 1 s to carry one out. Without a leader for longer,
-#: requests that need one are refused at once.
-TAKEOVER_LIMIT = Millis(2_500)
 #: Shortest and longest pause in ms between two probes that search for a
 #: leader. In between, the pause is a share of the time since a request last
 #: needed a leader. At a fixed short pause, a daemon that is cut off for long
@@ -37,25 +34,37 @@
         self._cluster = cluster
         self._searches: dict[str, asyncio.Task[None]] = {}
         self._sampling: asyncio.Task[bool] | None = None
-        cluster.on_leaderless = self.search
+        cluster.lead.on_missing = self.search
 
     @property
     def is_unavailable(self) -> bool:
         """Tell whether no leader is expected to become reachable soon.
 
         :returns: Whether the leader is reachable only for other daemons and
-            none of them lends a connection to it, or no leader was found for
-            longer than :data:`TAKEOVER_LIMIT`.
+            none of them lends a connection to it, or it is about to leave and
+            has no successor, or no leader was found for longer than
+            :data:`TAKEOVER_LIMIT`.
         """
         cluster = self._cluster
         leader = cluster.leader
+        if cluster.lead.is_drained:
+            return cluster.lead.ordered_successor is None
         if leader is not None:
             return leader.is_cut_off and not leader.borrowed.is_open
-        since = cluster.leaderless_since
+        since = cluster.lead.missing_since
         if since is None:
             return False
         return cluster.clock.now() - since > TAKEOVER_LIMIT
 
+    @property
+    def refuses_writes(self) -> bool:
+        """Tell whether a write can't be run, or would be lost with the leader.
+
+        :returns: Whether no leader is expected soon, or it leaves while no
+            other backend server receives its commits.
+        """
+        return self.is_unavailable or self._cluster.lead.is_stalled
+
     def search(self) -> None:
         """Probe until a backend server accepts a transaction.
 
@@ -149,7 +158,9 @@
 
     async def _search(self, name: str) -> None:
         cluster = self._cluster
-        while cluster.leadership.leader is None and name in cluster.members:
+        while (
+            cluster.lead.leadership.leader is None and name in cluster.members
+        ):
             if self._must_probe(name):
                 await cluster.probe(cluster.members[name])
             await asyncio.sleep(seconds(1) * self._search_pause())
@@ -160,22 +171,22 @@
         One that only its entry names may have been replaced since.
         """
         cluster = self._cluster
-        if cluster.leadership.likely_leader() in {None, name}:
+        if cluster.lead.leadership.likely_leader() in {None, name}:
             return True
-        since = cluster.leaderless_since
+        since = cluster.lead.missing_since
         return since is not None and cluster.clock.now() - since > PROBE_TIMEOUT
 
     def _search_pause(self) -> float:
         """Return the pause in ms until the next search probe."""
         cluster = self._cluster
-        unused_for = cluster.clock.now() - cluster.leader_wanted_at
+        unused_for = cluster.clock.now() - cluster.lead.wanted_at
         pause = max(_MIN_SEARCH_PAUSE, unused_for * _SEARCH_PAUSE_SHARE)
         return min(_MAX_SEARCH_PAUSE, pause)
 
     async def _take_sample(self) -> bool:
         leader = self._cluster.leader
         if leader is None:
-            self._cluster.find_leader()
+            self._cluster.lead.find()
             return False
         answer = await self._cluster.probe(leader, PROBE_TIMEOUT)
         return answer is not None and answer.succeeded
--- a/monsoonproxy/leader_replacement.py
+++ b/monsoonproxy/leader_replacement.py
@@ -189,26 +189,3 @@
         default=None,
     )
     return None if best is None else best.name
-
-
-def choose_planned_successor(
-    candidates: Iterable[CandidateStatus], reached: Position
-) -> str | None:
-    """Choose the successor of a leader that is about to leave.
-
-    :param candidates: The candidates.
-    :param reached: Log position of the leader.
-    :returns: Identity of the latest started candidate that has the leader's
-        position and is not leaving itself, or ``None`` if there is none yet.
-    """
-    complete = [
-        candidate
-        for candidate in candidates
-        if candidate.received is not None
-        and candidate.received >= reached
-        and not candidate.leaving
-    ]
-    best = max(
-        complete, key=lambda candidate: candidate.started_at, default=None
-    )
-    return None if best is None else best.name
--- a/monsoonproxy/members.py
+++ b/monsoonproxy/members.py
@@ -21,6 +21,10 @@
 _FALLBACK_LENDERS = 16
 
 
+#: Time in ms before the end of a backend server's drain time from which it gets
+#: no new statements: the news that it leaves take some time, and so does a
+#: statement that waits for a connection.
+_DRAIN_MARGIN = Millis(1_000)
 #: Time in ms that a backend server may need to open a connection after all
 #: daemons restarted: up to 12 openings for each slot take 27 ms each, and
 #: those that were under way before the restart take as long again.
@@ -46,6 +50,8 @@
         or wait for a connection to it.
     :param opening_since: Since when its host accepts connections while the
         backend server has never answered, or ``None``.
+    :param drained_at: From when it gets no new statements, since it is about to
+        leave; ``None`` while it stays.
     """
 
     server: Server
@@ -59,6 +65,7 @@
     silent_since: Millis | None = None
     reads: int = 0
     opening_since: Millis | None = None
+    drained_at: Millis | None = None
 
     @property
     def outstanding(self) -> int:
@@ -84,6 +91,28 @@
         self.is_partitioned = False
         self.borrowed.restrict(None)
 
+    def update_entry(self, server: Server, now: Millis, drain: Millis) -> None:
+        """Replace the entry of the backend server.
+
+        :param server: Its latest entry.
+        :param now: The time.
+        :param drain: Time in ms for which a backend server may be used after
+            it has said that it leaves.
+        """
+        self.server = server
+        if not server.leaving:
+            self.drained_at = None
+        elif self.drained_at is None:
+            self.drained_at = Millis(now + drain - _DRAIN_MARGIN)
+
+    def is_drained(self, now: Millis) -> bool:
+        """Tell whether the backend server may get no new statements.
+
+        :param now: The time.
+        :returns: Whether it is about to leave.
+        """
+        return self.drained_at is not None and now >= self.drained_at
+
     def interrupt(self) -> None:
         """End all waits for connections, whose requests need another leader."""
         self.direct.interrupt()
@@ -114,6 +143,8 @@
     :param relay: Address at which this daemon lends connections.
     :param lenders: Returns the given number of daemons that keep connections
         to a server, the best first.
+    :param drain: Time in ms for which a backend server may be used after it
+        has said that it leaves.
     """
 
     dialect: Dialect
@@ -123,6 +154,7 @@
     links: RelayClients
     relay: str
     lenders: Callable[[Server, int], tuple[Host, ...]]
+    drain: Millis
 
 
 class MemberFactory:
@@ -162,7 +194,11 @@
             shared.telemetry,
         )
         pool = direct if connects or self.plan is None else borrowed
-        return Member(server, pool, direct, borrowed)
+        member = Member(server, pool, direct, borrowed)
+        if server.leaving:
+            # It may have left long ago, as far as this daemon can tell.
+            member.drained_at = shared.clock.now()
+        return member
 
     def adapt(self, member: Member, rules: ServiceRules) -> None:
         """Apply a change of the plan, of the daemons or of the service.
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -100,6 +100,7 @@
                 self._links,
                 settings.relay_address,
                 self._lenders,
+                settings.drain,
             ),
         )
         find = self.catalog.runner
--- a/monsoonproxy/node_settings.py
+++ b/monsoonproxy/node_settings.py
@@ -17,6 +17,8 @@
     :param relay_address: ``ip:port`` where it lends connections to its peers.
     :param grace: Time in ms between SIGTERM and SIGKILL.
     :param max_callers: Maximum number of callers' connections.
+    :param drain: Time in ms for which a backend server may get new statements
+        after it has said that it leaves.
     :param first_start: Whether all daemons of the site start for the first
         time, so that the store has no rows of them yet.
     :param seeds: ``peer_address`` of some other daemons, which may be gone.
@@ -29,5 +31,6 @@
     relay_address: str
     grace: Millis
     max_callers: int
+    drain: Millis = Millis(7_000)
     first_start: bool = False
     seeds: tuple[str, ...] = ()
--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -16,22 +16,23 @@
 )
 from monsoonproxy.fencing_tokens import FencingTokens
 from monsoonproxy.gossip import Gossip
-from monsoonproxy.leader_monitor import TAKEOVER_LIMIT
+from monsoonproxy.handover import check_stalled
 from monsoonproxy.leader_replacement import (
     Assessment,
     Decision,
     Reachability,
-    choose_planned_successor,
     choose_successor,
     decide_without_peers,
 )
 from monsoonproxy.logs import log_for
 from monsoonproxy.members import Member
+from monsoonproxy.planned_changes import PlannedChange, find_successor
 from monsoonproxy.reachability import (
     PROBE_LIMIT,
     FindRunner,
     ReachabilityPoller,
 )
+from monsoonproxy.service_leader import TAKEOVER_LIMIT
 from monsoonproxy.statement_runner import StatementRunner
 from monsoonproxy.stores import Store
 
@@ -120,6 +121,8 @@
         """
         leader = runner.cluster.leader
         if leader is not None and leader.server.leaving:
+            if runner.cluster.lead.is_stalled:
+                runner.background.spawn(check_stalled(runner.cluster))
             self._start(runner, self._hand_over(runner, leader))
 
     def replace_missing_leader(self, runner: StatementRunner) -> None:
@@ -133,12 +136,14 @@
         cluster, now = runner.cluster, self._clock.now()
         if cluster.leader is not None or not cluster.members:
             return
-        cluster.find_leader()
-        since = cluster.leaderless_since
-        if since is None or now - since < _MISSING_LEADER_TIME:
+        cluster.lead.find()
+        since = cluster.lead.missing_since
+        # A leader that has left as announced does not come back.
+        least = 0 if cluster.lead.left else _MISSING_LEADER_TIME
+        if since is None or now - since < least:
             return
         recent = Millis(now - _RECENT_REFUSAL)
-        if cluster.leadership.have_all_refused(cluster.members, recent):
+        if cluster.lead.leadership.have_all_refused(cluster.members, recent):
             self._start(runner, self._replace_missing(runner))
 
     def _start(
@@ -177,7 +182,7 @@
         pause: float = _FIRST_RETRY_PAUSE
         while self._still_leads(runner.cluster, member):
             # Another one may lead if only its entry says that this one does.
-            runner.cluster.find_leader()
+            runner.cluster.lead.find()
             assessment = await self._assess(runner, member)
             if assessment is None:
                 break
@@ -206,7 +211,7 @@
     def _still_leads(self, cluster: Cluster, member: Member) -> bool:
         name = member.server.server_id
         known = cluster.members.get(name) is member
-        return known and cluster.leadership.leader in {name, None}
+        return known and cluster.lead.leadership.leader in {name, None}
 
     async def _assess(
         self, runner: StatementRunner, member: Member
@@ -258,15 +263,15 @@
     async def _replace(self, runner: StatementRunner, member: Member) -> bool:
         """Promote another backend server; return whether there is a leader."""
         cluster = runner.cluster
-        cluster.mark_not_leading(member)
+        cluster.lead.mark_not_leading(member)
         return await self._elect(cluster, _other_members(cluster, member))
 
     async def _replace_missing(self, runner: StatementRunner) -> None:
         cluster = runner.cluster
         _log.warning(
-            'No backend server of {} has led for {} ms or more; promoting one',
+            'No backend server of {} has led for {} ms; promoting one',
             cluster.rules.name,
-            _MISSING_LEADER_TIME,
+            self._clock.now() - (cluster.lead.missing_since or 0),
         )
         await self._elect(cluster, list(cluster.members.values()))
 
@@ -279,7 +284,7 @@
         await asyncio.sleep(seconds(self._rank(service) * _RANK_DELAY))
         if self._is_promotion_pending(service):
             return await _wait_for_leader(cluster)
-        if cluster.leadership.leader is not None:
+        if cluster.lead.leadership.leader is not None:
             return True
         candidates = await query_candidates(cluster, members)
         target = choose_successor(
@@ -290,7 +295,12 @@
             return False
         return await self._promote(cluster, target)
 
-    async def _promote(self, cluster: Cluster, target: str) -> bool:
+    async def _promote(
+        self,
+        cluster: Cluster,
+        target: str,
+        planned: PlannedChange | None = None,
+    ) -> bool:
         service = cluster.rules.name
         if self._is_promotion_pending(service):
             # Announced while the candidates were asked.
@@ -309,13 +319,20 @@
                 service,
             )
             return await _wait_for_leader(cluster)
-        cluster.leadership.announce_successor(target, self._clock.now())
+        cluster.lead.leadership.announce_successor(target, self._clock.now())
         self._announce(service, target, token)
+        if planned is not None and not await planned.prepare():
+            _log.warning(
+                'Planned change of {} given up: {} does not have all commits',
+                service,
+                target,
+            )
+            return False
         if not await self._order_promotion(service, target, token):
             return False
         self._announce(service, target, token)
-        cluster.leadership.announce_successor(target, self._clock.now())
-        cluster.find_leader()
+        cluster.lead.leadership.announce_successor(target, self._clock.now())
+        cluster.lead.find()
         return await _wait_for_leader(cluster)
 
     async def _order_promotion(
@@ -363,29 +380,22 @@
         await asyncio.sleep(seconds(self._rank(service) * _PLANNED_RANK_DELAY))
         if self._is_promotion_pending(service):
             return
-        target = await self._planned_successor(cluster, leader)
-        if target is None:
+        successor = await find_successor(cluster, leader)
+        if successor is None:
             return
+        target = successor.server.server_id
         _log.info(
             'Leader {} is about to leave; promoting {}',
             leader.server.server_id,
             target,
         )
-        if await self._promote(cluster, target):
+        change = PlannedChange(cluster, leader, successor)
+        if await self._promote(cluster, target, change):
             await self._wait_until_replaced(cluster, leader)
-
-    async def _planned_successor(
-        self, cluster: Cluster, leader: Member
-    ) -> str | None:
-        if cluster.leader is not leader:
-            return None
-        answer = await cluster.probe(leader)
-        if answer is None or answer.position is None:
-            return None
-        candidates = await query_candidates(
-            cluster, _other_members(cluster, leader)
-        )
-        return choose_planned_successor(candidates, answer.position)
+            return
+        if not self._is_promotion_pending(service):
+            await change.give_up()
+        await asyncio.sleep(seconds(_FIRST_RETRY_PAUSE))
 
     async def _wait_until_replaced(
         self, cluster: Cluster, leader: Member
@@ -420,7 +430,9 @@
         if runner is not None:
             cluster = runner.cluster
             now = self._clock.now()
-            cluster.leadership.announce_successor(succession.server_id, now)
+            cluster.lead.leadership.announce_successor(
+                succession.server_id, now
+            )
             self._tasks.spawn(
                 self._probe_successor(cluster, succession.server_id)
             )
@@ -432,7 +444,10 @@
         on using it.
         """
         until = self._clock.now() + TAKEOVER_LIMIT
-        while cluster.leadership.leader != target and self._clock.now() < until:
+        while (
+            cluster.lead.leadership.leader != target
+            and self._clock.now() < until
+        ):
             member = cluster.members.get(target)
             if member is not None:
                 await cluster.probe(member)
@@ -446,9 +461,11 @@
 async def _wait_for_leader(cluster: Cluster) -> bool:
     """Wait for a leader to accept transactions; return whether one does."""
     until = cluster.clock.now() + TAKEOVER_LIMIT
-    while cluster.leadership.leader is None and cluster.clock.now() < until:
-        await cluster.wait_for_change(until - cluster.clock.now())
-    return cluster.leadership.leader is not None
+    while (
+        cluster.lead.leadership.leader is None and cluster.clock.now() < until
+    ):
+        await cluster.lead.wait_for_change(until - cluster.clock.now())
+    return cluster.lead.leadership.leader is not None
 
 
 def _log_failure(task: asyncio.Task[None]) -> None:
--- a/monsoonproxy/read_execution.py
+++ b/monsoonproxy/read_execution.py
@@ -183,7 +183,7 @@
     async def _next_target(self) -> _Target | None:
         stmt = self._stmt
         if stmt.needs_leader:
-            leader = await self._cluster.wait_for_leader(self._time_left)
+            leader = await self._cluster.lead.wait(self._time_left)
             return _Target(leader) if leader else None
         if self._attempts:
             # Doesn't wait for a new position: a pending attempt may answer
@@ -316,9 +316,9 @@
         )
         lease.clean = ended.state is TransactionState.IDLE
         if answer.code is Code.READ_ONLY:
-            cluster.mark_not_leading(lease.member)
+            cluster.lead.mark_not_leading(lease.member)
         elif answer.succeeded:
-            cluster.confirm_leader(lease, answer)
+            cluster.lead.confirm(lease.member, lease.conn.sent_at, answer)
             answer = attrs.evolve(answer, state=TransactionState.IDLE)
         return self._handle_answer(lease, answer, None)
 
--- a/monsoonproxy/statement_runner.py
+++ b/monsoonproxy/statement_runner.py
@@ -123,7 +123,7 @@
         :returns: The position, or ``None`` if no recent enough position was
             learnt before the deadline.
         """
-        samples = self.cluster.floors
+        samples = self.cluster.lead.floors
         max_age = stmt.route.max_age
         age = samples.age(self.clock.now())
         if age is None or age > max_age:
@@ -139,7 +139,7 @@
         :returns: The position, or ``None`` if the latest known one is too old
             for the route.
         """
-        floor = self.cluster.floors.required(
+        floor = self.cluster.lead.floors.required(
             stmt.route.max_age, self.clock.now()
         )
         own = stmt.session.floor
--- a/monsoonproxy/transaction_affinity.py
+++ b/monsoonproxy/transaction_affinity.py
@@ -164,11 +164,11 @@
 
     async def _begin_at_leader(self, stmt: PendingStatement) -> None:
         cluster = self._cluster
-        leader = await cluster.wait_for_leader(self.runner.time_left(stmt))
+        leader = await cluster.lead.wait(self.runner.time_left(stmt))
         lease = await self._acquire(stmt, leader) if leader else None
         if lease is None:
             limit = min(BUSY_BACKOFF_MS, self.runner.time_left(stmt))
-            await cluster.wait_for_change(limit)
+            await cluster.lead.wait_for_change(limit)
             return
         try:
             await self.runner.apply_session(lease, stmt)
@@ -278,12 +278,12 @@
             member.stats.answered(took, answer.position, now)
             self.has_written = self.has_written or not stmt.is_read
             if at_leader:
-                cluster.confirm_leader(lease, answer)
+                cluster.lead.confirm(lease.member, lease.conn.sent_at, answer)
             return answer
         code = answer.code or Code.ABORTED
         cluster.telemetry.count(f'transactions_{code.name.lower()}')
         if code is Code.READ_ONLY and at_leader:
-            cluster.mark_not_leading(member)
+            cluster.lead.mark_not_leading(member)
         self.failed = True
         if answer.state is TransactionState.OPEN or code in NOT_RUN_CODES:
             # The caller's transaction has failed, so the one that is open at
@@ -316,12 +316,12 @@
         if answer.succeeded and answer.signed:
             if self.has_written:
                 stmt.session.advance_floor(answer.position)
-                cluster.confirm_leader(lease, answer)
+                cluster.lead.confirm(lease.member, lease.conn.sent_at, answer)
             return attrs.evolve(answer, state=TransactionState.IDLE)
         code = answer.code or Code.IN_DOUBT
         cluster.telemetry.count(f'commits_{code.name.lower()}')
         if code is Code.READ_ONLY:
-            cluster.mark_not_leading(lease.member)
+            cluster.lead.mark_not_leading(lease.member)
         if code in NOT_RUN_CODES or not self.has_written:
             return self._end_answer(
                 Code.ABORTED, f'{code.value}: {answer.reason}'
--- a/monsoonproxy/write_execution.py
+++ b/monsoonproxy/write_execution.py
@@ -29,8 +29,8 @@
     :returns: The answer of the leader, or an error answer if the write was not
         run or is in doubt.
     """
-    while runner.time_left(stmt) > 0 and not runner.leaders.is_unavailable:
-        leader = await runner.cluster.wait_for_leader(runner.time_left(stmt))
+    while runner.time_left(stmt) > 0 and not runner.leaders.refuses_writes:
+        leader = await runner.cluster.lead.wait(runner.time_left(stmt))
         if leader is not None:
             answer = await _write_before_deadline(runner, stmt, leader)
             if answer is not None:
@@ -93,7 +93,7 @@
         stmt.tried[member.server.server_id] = str(exc)
         if stmt.sent:
             return runner.failure(Code.IN_DOUBT, str(exc))
-        await cluster.wait_for_change(
+        await cluster.lead.wait_for_change(
             min(BUSY_BACKOFF_MS, runner.time_left(stmt))
         )
     return None
@@ -127,7 +127,7 @@
         took = lease.conn.answered_at - lease.conn.sent_at
         now = runner.clock.now()
         member.stats.answered(took, answer.position, now)
-        cluster.confirm_leader(lease, answer)
+        cluster.lead.confirm(lease.member, lease.conn.sent_at, answer)
         stmt.session.advance_floor(answer.position)
         return answer
     code = answer.code or Code.IN_DOUBT
@@ -142,7 +142,7 @@
         return answer
     stmt.sent = False
     if code is Code.READ_ONLY:
-        cluster.mark_not_leading(member)
+        cluster.lead.mark_not_leading(member)
     elif code is not Code.UNKNOWN_STATEMENT:
         await runner.back_off(stmt)
     return None
--- a/tests/test_hedged_reads.py
+++ b/tests/test_hedged_reads.py
@@ -97,7 +97,7 @@
     cluster.leader.is_cut_off = True
     cluster.leader.is_partitioned = True
     cluster.leader.borrowed.restrict(frozenset())
-    cluster.floors = Floors()
+    cluster.lead.floors = Floors()
     with mock.patch.object(runner.leaders, 'sample', _fail_to_sample):
         async with asyncio.timeout(0.2):
             assert (await caller.run('READ a')).code == 'BUSY'
@@ -159,5 +159,5 @@
     await asyncio.sleep(0.02)
     cluster.leader.is_cut_off = True
     cluster.leader.borrowed.restrict(frozenset())
-    cluster.floors = Floors()
+    cluster.lead.floors = Floors()
     assert not (await reading).code
--- a/tests/test_leader_replacement.py
+++ b/tests/test_leader_replacement.py
@@ -6,7 +6,6 @@
     Decision,
     Reachability,
     Tally,
-    choose_planned_successor,
     choose_successor,
 )
 from monsoonproxy.models import Position
@@ -135,20 +134,3 @@
     ]
     assert choose_successor(candidates, needs_all=True) is None
     assert choose_successor(candidates[:1], needs_all=True) == 'a'
-
-
-def test_planned_successor_is_complete_and_newest() -> None:
-    """Guards against a planned change that loses commits, or is done twice.
-
-    A successor that lacks the leader's position loses commits; one that is
-    about to leave would have to be replaced again.
-    """
-    reached = Position(1, 7)
-    candidates = [
-        CandidateStatus('old', Position(1, 7), started_at=1),
-        CandidateStatus('new', Position(1, 8), started_at=5),
-        CandidateStatus('newest', Position(1, 6), started_at=9),
-        CandidateStatus('leaving', Position(1, 8), leaving=True, started_at=7),
-    ]
-    assert choose_planned_successor(candidates, reached) == 'new'
-    assert choose_planned_successor(candidates[2:], reached) is None
