Serve organisations with keys and limits across all daemons

Cause: the platform's program knew no organisation, key or limit.

Change, switched on by a configuration that names organisations: - Keys: kept and passed on as digests only; looked up for each statement, so that withdrawn and passed on keys take effect in open sessions. - Connections: opened for one organisation; pools keep those used last, and the statements of an organisation go to the same few lenders and replicas. - Limits: five daemons chosen by hash hold equal parts as token buckets and grant tokens that live 0.5 s; no store, no consensus, and the sum holds under cuts, restarts and freezes. docs/design/organisations.md says what was weighed. DirectPool moved to direct_pools.py, unchanged for sites without organisations.

--- a/monsoonproxy/borrowed_pools.py
+++ b/monsoonproxy/borrowed_pools.py
@@ -121,15 +121,16 @@
         raise PeerError(getattr(response, 'reason', 'unexpected response'))
 
 
-Lenders = Callable[[], tuple[Host, ...]]
+#: Returns the lenders for the statements of an organisation, or of none, in
+#: order of preference.
+Lenders = Callable[[str | None], tuple[Host, ...]]
 
 
 class BorrowedPool:
     """Connections to one backend server that are borrowed from peers.
 
     :param server: The backend server.
-    :param lenders: Returns the peers that hold connections to it, in order of
-        preference.
+    :param lenders: Returns the peers that hold connections to it.
     :param clients: Clients of the relays of the peers.
     :param dialect: Protocol of the backend server.
     :param clock: Source of time.
@@ -169,7 +170,7 @@
     @property
     def is_open(self) -> bool:
         """Tell whether any peer may lend connections."""
-        return bool(self._candidates())
+        return bool(self._candidates(None))
 
     def restrict(self, relays: frozenset[str] | None) -> None:
         """Borrow from certain peers only.
@@ -184,7 +185,7 @@
 
         :returns: Their relay addresses.
         """
-        return frozenset(host.address for host in self._lenders())
+        return frozenset(host.address for host in self._lenders(None))
 
     def warm_up(self) -> None:
         """Do nothing: lenders open their connections themselves."""
@@ -195,7 +196,7 @@
         """Lease a connection from the first lender that grants one."""
         deadline = self._clock.now() + request.limit
         error: Exception = PoolExhaustedError('no peer lends connections')
-        clients = self._clients_to_try()
+        clients = self._clients_to_try(request.organisation)
         for client in clients:
             left = deadline - self._clock.now()
             if left <= 0:
@@ -243,8 +244,8 @@
         for number in tuple(self._connections):
             self.release(number, single=False, clean=False)
 
-    def _candidates(self) -> tuple[Host, ...]:
-        hosts = self._lenders()
+    def _candidates(self, organisation: str | None) -> tuple[Host, ...]:
+        hosts = self._lenders(organisation)
         if self._allowed is None:
             return hosts
         if not self._allowed:
@@ -253,8 +254,8 @@
         # borrow connections themselves. Then all lenders stay candidates.
         return tuple(h for h in hosts if h.address in self._allowed) or hosts
 
-    def _clients_to_try(self) -> list[RelayClient]:
-        hosts = self._candidates()[:_MAX_LENDERS_TRIED]
+    def _clients_to_try(self, organisation: str | None) -> list[RelayClient]:
+        hosts = self._candidates(organisation)[:_MAX_LENDERS_TRIED]
         return [self._clients.get(host.address) for host in hosts]
 
     async def _request(
--- a/monsoonproxy/catalog.py
+++ b/monsoonproxy/catalog.py
@@ -66,6 +66,14 @@
         """
         return self.runners.get(service)
 
+    def share_of(self, organisation: str) -> float:
+        """Return an organisation's share of the rates of all.
+
+        :param organisation: Name of the organisation.
+        :returns: The share, from 0 to 1.
+        """
+        return self.table.directory.share(organisation) if self.table else 1
+
     def is_partitioned(self) -> bool:
         """Tell whether this daemon is cut off by a network partition.
 
@@ -148,14 +156,20 @@
         """
         try:
             table = self._documents.routes(content)
+            if self.table is not None and table.version <= self.table.version:
+                return
+            sealed = self._documents.seal(content)
         except ConfigurationError as exc:
             _log.error('Ignored a malformed configuration: {}', exc)
             return
-        if self.table is not None and table.version <= self.table.version:
-            return
         self.table = table
-        self._compressed_configuration = compress(content)
-        _log.info('Configuration {} in force', table.version)
+        self._compressed_configuration = compress(sealed)
+        _log.info(
+            'Configuration {} in force, with {} routes and {} organisations',
+            table.version,
+            len(table.routes),
+            len(table.directory.organisations),
+        )
         for name, rules in table.services.items():
             runner = self.runners.get(name)
             if runner is None:
@@ -231,6 +245,7 @@
         :param is_changed: Whether the hosts, the configuration or the entries
             have changed since the last call.
         """
+        directory = self.table.directory if self.table else None
         for name, runner in self.runners.items():
             cluster = runner.cluster
             if not cluster.members:
@@ -238,7 +253,11 @@
                 continue
             before = self._plans.get(name, ConnectionPlan())
             plan = make_plan(
-                cluster.rules.connection_limit, cluster.slots, daemons, before
+                cluster.rules.connection_limit,
+                cluster.slots,
+                daemons,
+                before,
+                by_organisation=bool(directory),
             )
             if plan != before:
                 _log.info(
--- a/monsoonproxy/client_connections.py
+++ b/monsoonproxy/client_connections.py
@@ -17,7 +17,11 @@
 from monsoonproxy.logs import log_for
 from monsoonproxy.queries import Answer, Code, Query, TransactionState
 from monsoonproxy.server_connections import configure_keepalive
-from monsoonproxy.session_handlers import ServiceLookup, SessionHandler
+from monsoonproxy.session_handlers import (
+    OperationLimits,
+    ServiceLookup,
+    SessionHandler,
+)
 
 _log = log_for('client')
 
@@ -47,6 +51,7 @@
     """Listens for callers and holds their connections.
 
     :param services: The daemon's routes and services.
+    :param limits: Limits the operations of organisations.
     :param dialect: The protocol spoken with callers.
     :param clock: Source of time.
     :param observer: Is notified when statements end.
@@ -56,12 +61,14 @@
     def __init__(
         self,
         services: ServiceLookup,
+        limits: OperationLimits,
         dialect: Dialect,
         clock: Clock,
         observer: StatementObserver,
         max_connections: int,
     ) -> None:
         self.services = services
+        self.limits = limits
         self.dialect = dialect
         self.clock = clock
         self.observer = observer
@@ -289,13 +296,20 @@
                 Code.BUSY, 'the daemon has not received its configuration yet'
             )
             return
-        if message.database not in table.routes:
+        route = table.routes.get(message.database)
+        if route is None:
             self._refuse(Code.UNKNOWN_DATABASE, message.database)
             return
+        identity = table.directory.identify(message.key)
+        is_known = table.directory.owner(identity) is not None
+        if table.directory and not (is_known or route.is_public):
+            self._refuse(Code.UNAUTHORISED, 'the key is unknown')
+            return
         self.handler = SessionHandler(
             message.database,
-            Session(next(listener.session_numbers)),
+            Session(next(listener.session_numbers), identity),
             listener.services,
+            listener.limits,
             listener.dialect,
             listener.clock,
         )
@@ -313,6 +327,8 @@
         took = Millis(self._listener.clock.now() - started)
         self._listener.observer.statement_ended(handler, query, answer, took)
         self._write(answer)
+        if answer.code is Code.UNAUTHORISED:
+            self.close()
 
     async def _run(self, handler: SessionHandler, query: Query) -> Answer:
         listener = self._listener
--- a/monsoonproxy/client_sessions.py
+++ b/monsoonproxy/client_sessions.py
@@ -66,6 +66,9 @@
     """State of a caller's session that is kept between statements.
 
     :param number: Number of the session in this daemon, for logs.
+    :param identity: Keyed digest of the caller's key; empty without one.
+    :param organisation: The organisation that the current statement or
+        transaction belongs to; empty for none.
     :param values: Session values that the caller has set.
     :param prepared: Prepared statements by the names that the caller chose.
     :param floor: Log position of the latest commit of the session, which its
@@ -78,6 +81,8 @@
     """
 
     number: int
+    identity: bytes = attrs.field(default=b'', repr=False)
+    organisation: str = ''
     values: dict[bytes, bytes] = attrs.Factory(dict)
     prepared: dict[bytes, Prepared] = attrs.Factory(dict)
     floor: Position | None = None
@@ -147,6 +152,8 @@
     :param route: The route in force when the statement arrived.
     :param session: The caller's session.
     :param arrived: Time of arrival.
+    :param organisation: The organisation that the statement belongs to; empty
+        for none.
     :param prepared: The prepared statement that is executed, if any.
     :param tried: Outcome of the latest attempt by id of the backend server.
     :param refusals: How often the statement had to back off, since no backend
@@ -163,6 +170,7 @@
     route: Route
     session: Session
     arrived: Millis
+    organisation: str = ''
     prepared: Prepared | None = None
     tried: dict[str, str] = attrs.Factory(dict)
     refusals: int = 0
--- a/monsoonproxy/clusters.py
+++ b/monsoonproxy/clusters.py
@@ -149,12 +149,25 @@
             member.borrowed.abort()
             member.direct.abort()
 
-    def options(self) -> Iterator[selection.ReadTarget]:
+    def options(self, organisation: str) -> Iterator[selection.ReadTarget]:
         """Yield the backend servers that a read may go to.
 
+        :param organisation: The organisation that reads; empty for none.
         :yields: Each backend server with its load and state.
         """
         leader = self.leader
+        preferred = (
+            self._shared.replicas(
+                [
+                    name
+                    for name in self.members
+                    if leader is not self.members[name]
+                ],
+                organisation,
+            )
+            if organisation
+            else frozenset(self.members)
+        )
         for name, member in self.members.items():
             yield selection.ReadTarget(
                 name,
@@ -166,6 +179,7 @@
                 is_leader=member is leader,
                 is_leaving=member.server.leaving,
                 is_reachable=member.pool.is_open,
+                is_preferred=name in preferred,
             )
 
     # Connections.
@@ -182,7 +196,7 @@
         :param request: Requirements on the connection.
         :yields: The lease.
         """
-        pool = self._factory.usable_pool(member)
+        pool = self._factory.usable_pool(member, request.organisation)
         async with self._leased(member, pool, request) as lease:
             yield lease
 
@@ -193,9 +207,8 @@
         :param request: Requirements on the connection.
         :returns: The lease.
         """
-        return await self._acquire(
-            member, self._factory.usable_pool(member), request
-        )
+        pool = self._factory.usable_pool(member, request.organisation)
+        return await self._acquire(member, pool, request)
 
     async def lend(self, member: Member, request: LeaseRequest) -> Lease:
         """Lease a direct connection on behalf of a peer.
--- a/monsoonproxy/connection_plans.py
+++ b/monsoonproxy/connection_plans.py
@@ -27,6 +27,9 @@
 _CONNECTIONS_PER_LENDER = 2
 #: Time in ms after which idle connections beyond the first are closed.
 _IDLE_TIMEOUT = Millis(1_500)
+#: The same for connections that serve one organisation, whose next statement
+#: may come after many seconds.
+_KEYED_IDLE_TIMEOUT = Millis(40_000)
 #: Longest pause in ms between attempts to open a connection after failures.
 _MAX_OPEN_BACKOFF = Millis(200)
 
@@ -39,10 +42,13 @@
         server and lend them; 0 if every daemon connects directly.
     :param share: Greatest number of connections of one daemon to each backend
         server.
+    :param by_organisation: Whether a connection serves only the organisation
+        that it was opened for.
     """
 
     lenders: int = 0
     share: int = 2
+    by_organisation: bool = False
 
     @property
     def is_shared(self) -> bool:
@@ -65,13 +71,21 @@
             slots=int(connects),
             min_idle=0,
             share=self.share,
-            idle_timeout=_IDLE_TIMEOUT,
+            idle_timeout=(
+                _KEYED_IDLE_TIMEOUT if self.by_organisation else _IDLE_TIMEOUT
+            ),
             max_backoff=_MAX_OPEN_BACKOFF,
+            keyed=self.by_organisation,
         )
 
 
 def make_plan(
-    connection_limit: int, slots: int, daemons: int, current: ConnectionPlan
+    connection_limit: int,
+    slots: int,
+    daemons: int,
+    current: ConnectionPlan,
+    *,
+    by_organisation: bool = False,
 ) -> ConnectionPlan:
     """Plan how the daemons share connections.
 
@@ -80,16 +94,23 @@
     :param daemons: Number of daemons, including this one.
     :param current: The plan in force. Switching from direct connections to
         lending takes 10% more daemons than switching back (hysteresis).
+    :param by_organisation: Whether a connection serves only one organisation.
+        Then few daemons connect even if there are connections for all, so that
+        statements of an organisation find one that is open.
     :returns: The new plan.
     """
     max_direct = min(
         connection_limit * _MAX_DIRECT_SHARE, slots * _MAX_DIRECT_PER_SLOT
     )
     threshold = max_direct * 1.1 if not current.is_shared else max_direct
+    if by_organisation:
+        threshold = _MIN_LENDERS
     if daemons <= max(1, threshold):
         share = max(1, min(connection_limit, 2 * connection_limit // daemons))
-        return ConnectionPlan(0, share)
+        return ConnectionPlan(0, share, by_organisation)
     lenders = int(connection_limit * _LENDING_SHARE / _CONNECTIONS_PER_LENDER)
     lenders = min(lenders, slots * _MAX_LENDERS_PER_SLOT)
     lenders = min(connection_limit, max(_MIN_LENDERS, lenders))
-    return ConnectionPlan(lenders, max(1, connection_limit // lenders))
+    lenders = min(lenders, daemons)
+    share = max(1, connection_limit // lenders)
+    return ConnectionPlan(lenders, share, by_organisation)
--- a/monsoonproxy/dialects.py
+++ b/monsoonproxy/dialects.py
@@ -19,9 +19,11 @@
     """A message with which a caller opens a session.
 
     :param database: The database name that the caller asks for.
+    :param key: The caller's key; empty if it sent none.
     """
 
     database: str
+    key: bytes = attrs.field(default=b'', repr=False)
 
 
 @attrs.frozen
@@ -145,11 +147,13 @@
         :returns: The answer.
         """
 
-    def open(self, service: str, server_id: str) -> bytes:
+    def open(self, service: str, server_id: str, organisation: str) -> bytes:
         """Encode the first message to a backend server.
 
         :param service: The service that the backend server must belong to.
         :param server_id: The id that the backend server must have.
+        :param organisation: The organisation whose statements will be sent;
+            empty for none.
         :returns: The bytes.
         """
 
--- a/monsoonproxy/gossip_messages.py
+++ b/monsoonproxy/gossip_messages.py
@@ -93,6 +93,40 @@
     token: int
 
 
+class TokenRequest(_GossipMessage, frozen=True):
+    """Asks a holder of an organisation's limit for tokens.
+
+    :param number: Number of the request, which the grant repeats.
+    :param organisation: Name of the organisation.
+    :param count: Number of operations that wait.
+    :param expected: Number of operations that are expected soon.
+    :param priority: Highest priority of those that wait; 0 is the highest.
+    """
+
+    number: int
+    organisation: str
+    count: int
+    expected: int
+    priority: int
+
+
+class TokenGrant(_GossipMessage, frozen=True):
+    """Answers a :class:`TokenRequest`.
+
+    :param number: Number of the request.
+    :param count: Number of tokens; -1 if the sender is not a holder.
+    :param left: Tokens that the sender has left.
+    :param retry_after: Time in ms after which it expects more.
+    :param is_contended: Whether it refuses more operations than it grants.
+    """
+
+    number: int
+    count: int
+    left: float = 0
+    retry_after: int = 0
+    is_contended: bool = False
+
+
 class Listing(msgspec.Struct, frozen=True, array_like=True):
     """Addresses and zone of a daemon, as its row in the store holds them.
 
@@ -126,6 +160,8 @@
     | PromotionOrdered
     | RosterRequest
     | Roster
+    | TokenRequest
+    | TokenGrant
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/monsoonproxy/joining.py
+++ b/monsoonproxy/joining.py
@@ -61,6 +61,9 @@
         #: the daemon has joined: its row is in the list that it read.
         self.has_read_list = False
         self.has_joined = False
+        #: Whether the own row was in the list that was read, from before the
+        #: start of this process.
+        self.was_listed = False
         #: Called when peers from the store's list were added.
         self.on_peers_listed: Callable[[], Awaitable[None]] = _do_nothing
         #: Latest era of the store in which the own row was looked for.
@@ -112,6 +115,7 @@
             await self._write(own)
         rows = await self._read()
         is_listed = rows.get(self._settings.name) == own
+        self.was_listed = is_listed and not self._settings.first_start
         await self.on_peers_listed()
         peers = self._peers.all()
         if is_listed:
--- a/monsoonproxy/members.py
+++ b/monsoonproxy/members.py
@@ -1,6 +1,6 @@
 """Backend servers with the connections to them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -8,8 +8,9 @@
 from monsoonproxy.borrowed_pools import BorrowedPool
 from monsoonproxy.clock import Clock, Millis
 from monsoonproxy.connection_plans import ConnectionPlan
-from monsoonproxy.connection_pools import ConnectionPool, DirectPool
+from monsoonproxy.connection_pools import ConnectionPool
 from monsoonproxy.dialects import Dialect
+from monsoonproxy.direct_pools import DirectPool
 from monsoonproxy.models import Host
 from monsoonproxy.relay_client import RelayClients
 from monsoonproxy.routes import ServiceRules
@@ -142,7 +143,10 @@
     :param links: Connections to other daemons.
     :param relay: Address at which this daemon lends connections.
     :param lenders: Returns the given number of daemons that keep connections
-        to a server, the best first.
+        to a server, the best first for an organisation; ``None`` for statements
+        of the daemon itself.
+    :param replicas: Returns those of some backend servers that an organisation
+        prefers for its reads.
     :param drain: Time in ms for which a backend server may be used after it
         has said that it leaves.
     """
@@ -153,7 +157,8 @@
     telemetry: Telemetry
     links: RelayClients
     relay: str
-    lenders: Callable[[Server, int], tuple[Host, ...]]
+    lenders: Callable[[Server, int, str | None], tuple[Host, ...]]
+    replicas: Callable[[Iterable[str], str], frozenset[str]]
     drain: Millis
 
 
@@ -187,7 +192,7 @@
         )
         borrowed = BorrowedPool(
             server,
-            lambda: self._peer_lenders(server),
+            lambda organisation: self._peer_lenders(server, organisation),
             shared.links,
             shared.dialect,
             shared.clock,
@@ -212,13 +217,19 @@
             member.pool = member.direct if connects else member.borrowed
         member.pool.warm_up()
 
-    def usable_pool(self, member: Member) -> ConnectionPool:
+    def usable_pool(
+        self, member: Member, organisation: str | None = None
+    ) -> ConnectionPool:
         """Return the connection pool to use now.
 
         :param member: The backend server.
+        :param organisation: The organisation whose statement it is for.
         :returns: The borrowed connections if the backend server can't be
-            reached through own ones, or else the ones in use.
+            reached through own ones, or peers lend those of the organisation;
+            or else the ones in use.
         """
+        if not self._connects_for(member.server, organisation):
+            return member.borrowed
         starved = member.pool is member.direct and member.direct.is_starved
         if (member.is_cut_off or starved) and member.borrowed.is_open:
             self._shared.telemetry.count('borrowed')
@@ -238,15 +249,27 @@
             return False
         if not self.plan.is_shared:
             return True
-        lenders = self._shared.lenders(server, self.plan.lenders)
+        lenders = self._shared.lenders(server, self.plan.lenders, None)
         return any(host.address == self._shared.relay for host in lenders)
 
-    def _peer_lenders(self, server: Server) -> tuple[Host, ...]:
+    def _connects_for(self, server: Server, organisation: str | None) -> bool:
+        """Tell whether this daemon has an organisation's connections itself."""
+        plan = self.plan
+        if organisation is None or plan is None:
+            return True
+        if not (plan.by_organisation and plan.is_shared):
+            return True
+        best = self._shared.lenders(server, plan.lenders, organisation)[:1]
+        return not best or best[0].address == self._shared.relay
+
+    def _peer_lenders(
+        self, server: Server, organisation: str | None
+    ) -> tuple[Host, ...]:
         """Return the other daemons that may lend connections to a server."""
         planned = self.plan.lenders if self.plan else 0
         count = planned or _FALLBACK_LENDERS
         return tuple(
             host
-            for host in self._shared.lenders(server, count)
+            for host in self._shared.lenders(server, count, organisation)
             if host.address != self._shared.relay
         )
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+from collections.abc import Iterable
 
 from monsoonproxy.catalog import Catalog
 from monsoonproxy.client_connections import ClientListener
@@ -15,6 +16,11 @@
 from monsoonproxy.members import ClusterContext
 from monsoonproxy.models import Host
 from monsoonproxy.node_settings import NodeSettings
+from monsoonproxy.organisations.affinity import (
+    order_lenders,
+    preferred_replicas,
+)
+from monsoonproxy.organisations.quotas import Quotas
 from monsoonproxy.peer_cleanup import PeerCleanup
 from monsoonproxy.peer_list import Peer, PeerList
 from monsoonproxy.placement import Placement, ranked
@@ -87,7 +93,9 @@
         #: configuration and the entries.
         self._is_planned = False
         #: Lenders by server and count; cleared when the hosts change.
-        self._lender_cache: dict[tuple[str, int], tuple[Host, ...]] = {}
+        self._lender_cache: dict[
+            tuple[str, int, str | None], tuple[Host, ...]
+        ] = {}
         self._links = RelayClients(clock)
         self._links.on_unresponsive = self._lender_unresponsive
         self.catalog = Catalog(
@@ -100,6 +108,7 @@
                 self._links,
                 settings.relay_address,
                 self._lenders,
+                self._preferred_replicas,
                 settings.drain,
             ),
         )
@@ -129,8 +138,16 @@
         self._promoter = Promoter(store, self._gossip, poller, find, clock)
         self.catalog.on_leader_suspected = self._promoter.check_leader
         self.catalog.on_update = self._announce_update
+        self._quotas = Quotas(
+            self._gossip,
+            settings.availability_zone,
+            clock,
+            self._telemetry,
+            rng,
+        )
         self._clients = ClientListener(
             self.catalog,
+            self._quotas,
             dialect,
             clock,
             StatementRecorder(self._telemetry),
@@ -217,29 +234,51 @@
             self._clock.wall(),
         )
 
-    def _lenders(self, server: Server, count: int) -> tuple[Host, ...]:
+    def _lenders(
+        self, server: Server, count: int, organisation: str | None
+    ) -> tuple[Host, ...]:
         """Return the hosts of the daemons that lend connections to a server.
 
-        Those in the own availability zone come first, since the round trip to
-        them is short. Within a zone, the order differs from daemon to daemon,
-        so that the load spreads.
+        Those of an organisation come first. Without one, those in the own
+        availability zone do, since the round trip to them is short; within a
+        zone, the order differs from daemon to daemon, so that the load spreads.
         """
-        key = (server.server_id, count)
+        key = (server.server_id, count, organisation)
         found = self._lender_cache.get(key)
         if found is None:
-            settings = self._settings
             hosts = self._placement.holders(server.server_id, count)
-            preferred = ranked(settings.name, hosts)
-            zone = settings.availability_zone
-            found = tuple(
-                sorted(preferred, key=lambda at: at.availability_zone != zone)
-            )
+            found = self._order_lenders(hosts, organisation)
             self._lender_cache[key] = found
         return found
 
+    def _order_lenders(
+        self, hosts: tuple[Host, ...], organisation: str | None
+    ) -> tuple[Host, ...]:
+        name, zone = self._settings.name, self._settings.availability_zone
+        if organisation:
+            share = self.catalog.share_of(organisation)
+            return order_lenders(hosts, organisation, share, name)
+        return tuple(
+            sorted(
+                ranked(name, hosts),
+                key=lambda host: host.availability_zone != zone,
+            )
+        )
+
+    def _preferred_replicas(
+        self, replicas: Iterable[str], organisation: str
+    ) -> frozenset[str]:
+        share = self.catalog.share_of(organisation)
+        return preferred_replicas(replicas, organisation, share)
+
     async def _on_peers_listed(self) -> None:
         """Plan with the listed peers, and ask delegates for updates."""
         self._replan()
+        self._quotas.update_daemons()
+        if self._joiner.has_joined:
+            self._quotas.holding.start(
+                self._clock.now(), was_listed=self._joiner.was_listed
+            )
         receivers = self._peers.with_relays(self._delegation.delegates)
         if not self._delegation.is_delegate:
             # Delegates with newer versions answer with their presence.
@@ -256,6 +295,9 @@
             receivers = self._peers.sample_alive(FANOUT, now)
         self._gossip.announce(receivers)
         self._is_planned = False
+        self._lender_cache.clear()
+        if self.catalog.table is not None:
+            self._quotas.configure(self.catalog.table)
         self._replan()
 
     def _lender_unresponsive(self, relay: str) -> None:
@@ -333,6 +375,7 @@
                 self._clients.end_idle_transactions(limit)
             self.catalog.expire()
             self._replan()
+            self._quotas.update_daemons()
             self._joiner.check_listing(self._store_era())
             await self._update_delegation()
             for runner in self.catalog.runners.values():
--- a/monsoonproxy/pool_sizing.py
+++ b/monsoonproxy/pool_sizing.py
@@ -3,8 +3,10 @@
 The decisions do no I/O; the caller carries out the returned commands.
 """
 
+import collections
 import enum
 import math
+from collections.abc import Mapping
 from typing import TypeAlias
 
 import attrs
@@ -20,6 +22,7 @@
     OVER_QUOTA = 'over quota'
     NOT_HOLDER = 'no longer holder'
     LEAVING = 'backend server leaving'
+    REPLACED = 'replaced by one with another key'
 
 
 @attrs.frozen
@@ -40,6 +43,8 @@
         is raised by one connection.
     :param share: Greatest number of connections in the pool, if it does not
         follow from the number of holders.
+    :param keyed: Whether a connection serves only the transactions that have
+        the key with which it was opened.
     """
 
     connection_limit: int
@@ -54,6 +59,7 @@
     max_backoff: Millis = Millis(1000)
     recovery_interval: Millis = Millis(1000)
     share: int | None = None
+    keyed: bool = False
 
     @property
     def quota(self) -> int:
@@ -71,9 +77,10 @@
 
 @attrs.frozen
 class Open:
-    """Command to open ``count`` connections."""
+    """Command to open ``count`` connections with a key."""
 
     count: int
+    key: str = ''
 
 
 @attrs.frozen
@@ -96,6 +103,7 @@
     retry_at: int = 0
     budget: float = 0
     refilled_at: int = 0
+    keys: collections.Counter[str] = attrs.Factory(collections.Counter)
 
 
 class PoolSizer:
@@ -112,6 +120,7 @@
         self._idle: dict[int, int] = {}
         self._leased: dict[int, int] = {}
         self._closing: set[int] = set()
+        self._keys: dict[int, str] = {}
         self._attempts = _OpenAttempts(budget=rules.open_burst, refilled_at=now)
         self._active = True
         self._stop_reason = CloseReason.NOT_HOLDER
@@ -150,20 +159,44 @@
         self._rules = rules
         self._cap = max(1, min(rules.quota, self._cap + max(0, grown)))
 
-    def lease(self, transaction: int, now: Millis) -> int | None:
+    @property
+    def is_keyed(self) -> bool:
+        """Tell whether connections differ by their keys."""
+        return self._rules.keyed
+
+    def idle_by_key(self) -> Mapping[str, int]:
+        """Count the idle connections of each key."""
+        return collections.Counter(self._keys[number] for number in self._idle)
+
+    def has_any(self, key: str) -> bool:
+        """Tell whether a connection with a key is leased or being opened.
+
+        :param key: The key.
+        :returns: Whether one is, so that it may become idle soon.
+        """
+        leased = (self._keys.get(number) for number in self._leased)
+        return self._attempts.keys[key] > 0 or key in leased
+
+    def lease(
+        self, transaction: int, now: Millis, key: str | None = ''
+    ) -> int | None:
         """Lease a connection to one transaction.
 
         :param transaction: Number of the transaction.
         :param now: The time.
+        :param key: Key of the connection; ``None`` if any will do.
         :returns: The connection, or ``None`` if none is idle. The most
             recently used one is taken so that the others reach the idle
             timeout.
         """
         if not self._idle or not self._active:
             return None
-        connection, _since = self._idle.popitem()
-        self._leased[connection] = transaction
-        return connection
+        for connection in reversed(self._idle):
+            if key is None or self._keys[connection] == key:
+                self._idle.pop(connection)
+                self._leased[connection] = transaction
+                return connection
+        return None
 
     def is_leased(self, connection: int) -> bool:
         """Tell whether a connection is leased.
@@ -197,16 +230,19 @@
         self._idle[connection] = now
         return []
 
-    def opened(self, connection: int, now: Millis) -> list[Command]:
+    def opened(
+        self, connection: int, now: Millis, key: str = ''
+    ) -> list[Command]:
         """Record that an open succeeded.
 
         :param connection: The new connection.
         :param now: The time.
+        :param key: Key of the connection.
         :returns: A command to close it if it is no longer needed.
         """
-        if self._attempts.started:
-            self._attempts.started.pop(0)
+        self._end_attempt(key)
         self._attempts.failures = 0
+        self._keys[connection] = key
         self._idle[connection] = now
         if not self._active:
             return self._close([connection], self._stop_reason)
@@ -214,16 +250,16 @@
             return self._close([connection], CloseReason.OVER_QUOTA)
         return []
 
-    def open_failed(self, too_many: bool, now: Millis) -> None:
+    def open_failed(self, too_many: bool, now: Millis, key: str = '') -> None:
         """Record that an open failed.
 
         :param too_many: Whether the backend server answered with error 1040
             (too many connections).
         :param now: The time.
+        :param key: Key of the connection.
         """
         attempts = self._attempts
-        if attempts.started:
-            attempts.started.pop(0)
+        self._end_attempt(key)
         delay = self._rules.backoff << min(attempts.failures, 16)
         attempts.failures += 1
         attempts.retry_at = now + min(delay, self._rules.max_backoff)
@@ -239,6 +275,7 @@
         self._idle.pop(connection, None)
         self._leased.pop(connection, None)
         self._closing.discard(connection)
+        self._keys.pop(connection, None)
 
     def stop(self, reason: CloseReason) -> list[Command]:
         """Close idle connections now and leased ones when they are released.
@@ -268,6 +305,66 @@
             commands.append(Open(count))
         return commands
 
+    def tick_by_key(
+        self, waiting: Mapping[str, int], now: Millis
+    ) -> list[Command]:
+        """Decide which connections to open and close, by their keys.
+
+        A connection that was idle longest is closed to make room for one with
+        a key that transactions wait for.
+
+        :param waiting: Number of transactions that wait, by their key.
+        :param now: The time.
+        :returns: Commands to carry out.
+        """
+        self._recover_cap(now)
+        if not self._active:
+            return []
+        commands = self._close_idle(now)
+        self._refill_budget(now)
+        if now < self._attempts.retry_at:
+            return commands
+        idle = self.idle_by_key()
+        if not self.total and self._rules.slots and not waiting:
+            # Shows that the backend server can be reached.
+            return [*commands, *self._open_keyed('', waiting, now)]
+        for key, count in waiting.items():
+            missing = count - idle.get(key, 0) - self._attempts.keys[key]
+            for _ in range(missing):
+                commands.extend(self._open_keyed(key, waiting, now))
+        return commands
+
+    def _open_keyed(
+        self, key: str, waiting: Mapping[str, int], now: int
+    ) -> list[Command]:
+        attempts = self._attempts
+        is_limited = len(attempts.started) >= self._rules.max_opening
+        if is_limited or attempts.budget < 1:
+            return []
+        commands: list[Command] = []
+        if self.total >= self._cap:
+            unused = [
+                number
+                for number in self._idle
+                if self._keys[number] not in waiting
+            ]
+            if not unused:
+                return []
+            commands = self._close(unused[:1], CloseReason.REPLACED)
+            # It is closed before the new one is opened.
+            self._closing.discard(unused[0])
+        attempts.started.append(now)
+        attempts.keys[key] += 1
+        attempts.budget -= 1
+        return [*commands, Open(1, key)]
+
+    def _end_attempt(self, key: str) -> None:
+        attempts = self._attempts
+        if attempts.started:
+            attempts.started.pop(0)
+        if attempts.keys[key] > 0:
+            attempts.keys[key] -= 1
+
     def _count_to_open(self, waiting: int, now: int) -> int:
         attempts = self._attempts
         self._refill_budget(now)
--- a/monsoonproxy/queries.py
+++ b/monsoonproxy/queries.py
@@ -47,6 +47,8 @@
     FAILED = 'failed'
     UNKNOWN_STATEMENT = 'unknown statement'
     UNKNOWN_DATABASE = 'unknown database'
+    UNAUTHORISED = 'unauthorised'
+    OVER_LIMIT = 'over limit'
     TOO_BIG = 'too big'
     MALFORMED = 'malformed'
 
--- a/monsoonproxy/read_execution.py
+++ b/monsoonproxy/read_execution.py
@@ -195,7 +195,7 @@
         if floor is None:
             return None
         option = selection.choose(
-            self._cluster.options(),
+            self._cluster.options(stmt.organisation),
             floor,
             stmt.tried,
             self._runner.clock.now(),
@@ -350,7 +350,12 @@
         return None
 
     def _lease_request(self) -> LeaseRequest:
-        return LeaseRequest(self._time_left, self._stmt.priority, single=True)
+        return LeaseRequest(
+            self._time_left,
+            self._stmt.priority,
+            single=True,
+            organisation=self._stmt.organisation,
+        )
 
     def _record_connection_loss(
         self, member: Member, exc: ConnectionLostError
--- a/monsoonproxy/relay_client.py
+++ b/monsoonproxy/relay_client.py
@@ -80,6 +80,7 @@
             max(1, int(lease_request.limit)),
             lease_request.priority,
             lease_request.single,
+            lease_request.organisation,
         )
         limit = max(1, int(lease_request.limit)) + _ANSWER_MARGIN
         try:
--- a/monsoonproxy/relay_messages.py
+++ b/monsoonproxy/relay_messages.py
@@ -33,6 +33,8 @@
     :param limit: Longest wait in ms for a connection.
     :param priority: 0 is the highest.
     :param single: Whether the lease is for a single statement.
+    :param organisation: The organisation that the connection has to be opened
+        for; ``None`` if any will do.
     """
 
     service: str
@@ -40,6 +42,7 @@
     limit: int
     priority: int
     single: bool
+    organisation: str | None = None
 
 
 class Granted(_Message, frozen=True):
--- a/monsoonproxy/relay_server.py
+++ b/monsoonproxy/relay_server.py
@@ -190,7 +190,9 @@
                 f'{ask.server_id} is not known to the lender'
             )
         cluster = runner.cluster
-        request = LeaseRequest(ask.limit, ask.priority, ask.single)
+        request = LeaseRequest(
+            ask.limit, ask.priority, ask.single, ask.organisation
+        )
         return await cluster.lend(cluster.members[ask.server_id], request)
 
     async def _forward(self, sent: relay_messages.Send) -> None:
--- a/monsoonproxy/routes.py
+++ b/monsoonproxy/routes.py
@@ -6,6 +6,7 @@
 import attrs
 
 from monsoonproxy.clock import Millis
+from monsoonproxy.organisations.directory import Directory
 
 
 class Freshness(enum.Enum):
@@ -31,6 +32,7 @@
     :param timeout: Time limit of one statement in ms.
     :param objective: Latency objective of a whole operation in ms.
     :param priority: Priority of the sessions; 0 is the highest.
+    :param is_public: Whether callers need no key.
     """
 
     database: str
@@ -40,6 +42,7 @@
     timeout: Millis
     objective: Millis
     priority: int
+    is_public: bool = False
 
 
 @attrs.frozen
@@ -67,9 +70,12 @@
     :param services: Services by name.
     :param idle_transaction: Time in ms without a statement after which an open
         transaction may be ended.
+    :param directory: The organisations whose callers have keys; empty if
+        callers need none.
     """
 
     version: int
     routes: Mapping[str, Route] = attrs.Factory(dict)
     services: Mapping[str, ServiceRules] = attrs.Factory(dict)
     idle_transaction: Millis = Millis(3_000)
+    directory: Directory = Directory()
--- a/monsoonproxy/selection.py
+++ b/monsoonproxy/selection.py
@@ -14,6 +14,9 @@
 #: Time in ms that a read takes longer between availability zones; it breaks
 #: ties in favour of the own zone.
 _CROSS_ZONE_COST = 2.0
+#: Time in ms that a read takes longer where a connection for it has to be
+#: opened first.
+_OPENING_COST = 12.0
 #: Time in ms for which a backend server that failed gets no reads; doubles
 #: with each further failure.
 _FIRST_EJECTION = 250
@@ -151,6 +154,8 @@
     :param is_leader: Whether it leads.
     :param is_leaving: Whether it is about to leave.
     :param is_reachable: Whether a connection is open or may be opened.
+    :param is_preferred: Whether a connection of the organisation that reads is
+        probably open.
     """
 
     name: str
@@ -161,6 +166,7 @@
     is_leader: bool
     is_leaving: bool = False
     is_reachable: bool = True
+    is_preferred: bool = True
 
     def cost(self) -> float:
         """Estimate the answer time of a read.
@@ -169,7 +175,8 @@
         """
         queued = self.running / max(1, self.slots)
         distance = 0 if self.in_own_zone else _CROSS_ZONE_COST
-        return self.stats.latency * (1 + queued) + distance
+        opening = 0 if self.is_preferred else _OPENING_COST
+        return self.stats.latency * (1 + queued) + distance + opening
 
 
 def choose(
--- a/monsoonproxy/server_connections.py
+++ b/monsoonproxy/server_connections.py
@@ -96,11 +96,19 @@
     :param dialect: The protocol spoken with the backend server.
     :param server: The backend server to connect to.
     :param clock: Source of time.
+    :param organisation: The organisation that it is opened for; empty for none.
     """
 
-    def __init__(self, dialect: Dialect, server: Server, clock: Clock) -> None:
+    def __init__(
+        self,
+        dialect: Dialect,
+        server: Server,
+        clock: Clock,
+        organisation: str = '',
+    ) -> None:
         super().__init__(dialect)
         self.server = server
+        self.organisation = organisation
         self.closed = False
         #: Arrival of the latest answer, and start of the latest exchange.
         self.answered_at = Millis(0)
@@ -127,7 +135,10 @@
 
     def opening_message(self) -> bytes:
         """Return the message that opens a session."""
-        return self._dialect.open(self.server.service, self.server.server_id)
+        server = self.server
+        return self._dialect.open(
+            server.service, server.server_id, self.organisation
+        )
 
     def exchange(
         self, payload: bytes, count: int = 1, _limit: float = 0
@@ -236,18 +247,19 @@
 
 
 async def open_connection(
-    dialect: Dialect, server: Server, clock: Clock
+    dialect: Dialect, server: Server, clock: Clock, organisation: str = ''
 ) -> tuple[DirectConnection, Answer]:
     """Open a connection to a backend server and a session on it.
 
     :param dialect: The protocol spoken with the backend server.
     :param server: The backend server.
     :param clock: Source of time.
+    :param organisation: The organisation that it is opened for; empty for none.
     :returns: The connection and the answer to the opening message. The
         connection is closed if the answer is an error.
     :raises ConnectionLostError: If the backend server can't be reached in time.
     """
-    conn = DirectConnection(dialect, server, clock)
+    conn = DirectConnection(dialect, server, clock, organisation)
     answer = await open_session(conn)
     if answer.code is not None:
         conn.abort()
--- a/monsoonproxy/session_handlers.py
+++ b/monsoonproxy/session_handlers.py
@@ -3,9 +3,11 @@
 from collections.abc import Awaitable, Callable
 from typing import Protocol, TypeAlias
 
+import attrs
+
 from monsoonproxy import read_execution, write_execution
 from monsoonproxy.client_sessions import PendingStatement, Session
-from monsoonproxy.clock import Clock
+from monsoonproxy.clock import Clock, Millis
 from monsoonproxy.dialects import Dialect
 from monsoonproxy.queries import (
     Answer,
@@ -29,12 +31,26 @@
         """Return the runner of a service, or ``None`` if it is unknown."""
 
 
+class OperationLimits(Protocol):
+    """Limits the operations of organisations."""
+
+    async def admit(self, organisation: str, priority: int) -> Millis | None:
+        """Take the right to run an operation.
+
+        :param organisation: Name of the organisation; empty for none.
+        :param priority: Priority of the operation; 0 is the highest.
+        :returns: ``None`` if it may run, or else the time in ms after which
+            the caller may come back.
+        """
+
+
 class SessionHandler:
     """Runs the statements of one session, one after another.
 
     :param database: The database name with which the caller opened the session.
     :param session: State of the session.
     :param services: The daemon's routes and services.
+    :param limits: Limits the operations of organisations.
     :param dialect: The protocol that makes answers for the caller.
     :param clock: Source of time.
     """
@@ -44,6 +60,7 @@
         database: str,
         session: Session,
         services: ServiceLookup,
+        limits: OperationLimits,
         dialect: Dialect,
         clock: Clock,
     ) -> None:
@@ -57,6 +74,7 @@
         #: changes meanwhile.
         self._route: Route | None = None
         self._services = services
+        self._limits = limits
         self._dialect = dialect
         self._clock = clock
 
@@ -77,6 +95,10 @@
         """
         self.stmt = None
         ends = query.verb in {Verb.COMMIT, Verb.ROLLBACK}
+        if not self._is_identified():
+            if self.transaction is None:
+                return self._fail(Code.UNAUTHORISED, 'the key was withdrawn')
+            self.abort('the key was withdrawn or passed on')
         transaction = self.transaction
         if transaction is not None and transaction.failed and not ends:
             if transaction.reason:
@@ -90,6 +112,26 @@
             )
         return await _VERB_HANDLERS[query.verb](self, query)
 
+    def _is_identified(self) -> bool:
+        """Tell whether the caller's key is valid, and note its organisation.
+
+        :returns: Whether the route needs no key, or an organisation holds the
+            key; within a transaction, the one that held it at its beginning.
+        """
+        table = self._services.table
+        route = self._route if self.transaction else None
+        if table is not None and route is None:
+            route = table.routes.get(self.database)
+        if table is None or route is None:
+            return True
+        owner: str | None = ''
+        if table.directory and not route.is_public:
+            owner = table.directory.owner(self.session.identity)
+        if self.transaction is not None:
+            return owner == self.session.organisation
+        self.session.organisation = owner or ''
+        return owner is not None
+
     def refuse(self, reason: str) -> Answer:
         """Answer that a statement is not run, and may be sent again.
 
@@ -214,17 +256,44 @@
             stmt = self._new_stmt(
                 query, self._route, text, is_read=is_read, prepared=prepared
             )
-            return await self.transaction.run(stmt)
+            return await self._run_in_transaction(self.transaction, stmt)
         route, runner = self._current_route()
         if route is None or runner is None:
             return self._unknown_route()
         stmt = self._new_stmt(
             query, route, text, is_read=is_read, prepared=prepared
         )
+        refusal = await self._admit(stmt)
+        if refusal is not None:
+            return refusal
         if is_read:
             return await read_execution.read(runner, stmt)
         return await write_execution.write(runner, stmt)
 
+    async def _run_in_transaction(
+        self, transaction: Transaction, stmt: PendingStatement
+    ) -> Answer:
+        if not transaction.admitted:
+            refusal = await self._admit(stmt)
+            if refusal is not None:
+                transaction.failed = True
+                return attrs.evolve(refusal, state=self.state)
+            transaction.admitted = True
+        return await transaction.run(stmt)
+
+    async def _admit(self, stmt: PendingStatement) -> Answer | None:
+        """Count an operation towards its organisation's limit.
+
+        :returns: ``None`` if it may run, or else the refusal.
+        """
+        wait = await self._limits.admit(stmt.organisation, stmt.priority)
+        if wait is None:
+            return None
+        return self._fail(
+            Code.OVER_LIMIT,
+            f'limit of {stmt.organisation} reached; come back after {wait} ms',
+        )
+
     def _new_stmt(
         self,
         query: Query,
@@ -241,6 +310,7 @@
             route,
             self.session,
             self._clock.now(),
+            self.session.organisation,
             prepared,
         )
         return self.stmt
--- a/monsoonproxy/stores.py
+++ b/monsoonproxy/stores.py
@@ -178,6 +178,15 @@
         :raises ConfigurationError: If the document is malformed.
         """
 
+    def seal(self, content: bytes) -> bytes:
+        """Remove the callers' keys from a configuration, for peers.
+
+        :param content: The document.
+        :returns: The document with digests of the keys, which decodes to the
+            same routes and organisations.
+        :raises ConfigurationError: If the document is malformed.
+        """
+
     def server(self, server_id: str, content: bytes) -> Server:
         """Decode a backend server's entry.
 
--- a/monsoonproxy/transaction_affinity.py
+++ b/monsoonproxy/transaction_affinity.py
@@ -41,6 +41,7 @@
         replica may run it if the route allows that.
     :param last_used_at: Time at which its latest statement ended.
     :param has_written: Whether one of its writes ran.
+    :param admitted: Whether it was counted towards its organisation's limit.
     :param failed: Whether the caller can only roll it back.
     :param reason: Why the daemon ended it, if it did and the caller was not
         told yet.
@@ -50,6 +51,7 @@
     read_only: bool
     last_used_at: Millis
     has_written: bool = False
+    admitted: bool = False
     failed: bool = False
     reason: str = ''
     _lease: Lease | None = None
@@ -186,7 +188,9 @@
         option = None
         if floor is not None:
             now = self.runner.clock.now()
-            option = selection.choose(cluster.options(), floor, stmt.tried, now)
+            option = selection.choose(
+                cluster.options(stmt.organisation), floor, stmt.tried, now
+            )
         if option is None or floor is None:
             stmt.tried.clear()
             await self.runner.back_off(stmt)
@@ -231,7 +235,11 @@
     async def _acquire(
         self, stmt: PendingStatement, member: Member
     ) -> Lease | None:
-        claim = LeaseRequest(self.runner.time_left(stmt), stmt.priority)
+        claim = LeaseRequest(
+            self.runner.time_left(stmt),
+            stmt.priority,
+            organisation=stmt.organisation,
+        )
         try:
             return await self._cluster.acquire(member, claim)
         except CONNECTION_ERRORS as exc:
--- a/monsoonproxy/write_execution.py
+++ b/monsoonproxy/write_execution.py
@@ -81,7 +81,12 @@
         and may be tried again.
     """
     cluster = runner.cluster
-    claim = LeaseRequest(runner.time_left(stmt), stmt.priority, single=True)
+    claim = LeaseRequest(
+        runner.time_left(stmt),
+        stmt.priority,
+        single=True,
+        organisation=stmt.organisation,
+    )
     try:
         async with cluster.leased(member, claim) as lease:
             attempt.wire = lease.conn
--- a/tests/test_connection_pools.py
+++ b/tests/test_connection_pools.py
@@ -4,7 +4,8 @@
 
 from stand_ins.site import SERVICE, SESSION_ROUTE, SiteStandIn
 
-from monsoonproxy.connection_pools import DirectPool, LeaseRequest
+from monsoonproxy.connection_pools import LeaseRequest
+from monsoonproxy.direct_pools import DirectPool
 from tests.fixtures import load_functions
 from tests.platform_sites import wait_until
 
--- a/tests/test_message_tags.py
+++ b/tests/test_message_tags.py
@@ -30,9 +30,11 @@
     'Succession': '[str, str, str, int]',
     'RosterRequest': '[str]',
     'Roster': f'[str, dict[str, {_LISTING}]]',
+    'TokenRequest': '[str, int, str, int, int, int]',
+    'TokenGrant': '[str, int, int, float = 0, int = 0, bool = False]',
 }
 _FORWARDS = {
-    'Ask': '[int, str, str, int, int, bool]',
+    'Ask': '[int, str, str, int, int, bool, str | None = None]',
     'Granted': f'[int, {_VALUES}, list[bytes], int]',
     'Denied': '[int, str, bool]',
     'Send': '[int, bytes, int, int]',
