--- a/tests/test_even_load.py
+++ b/tests/test_even_load.py
@@ -135,7 +135,8 @@
         replica = replicas[int(name)]
         ends = replica.serve(now + _ROUND_TRIP / 2, work) + _ROUND_TRIP / 2
         running[daemon][name] += 1
-        heapq.heappush(answers, (ends, next(numbers), daemon, name, ends - now))
+        answer = (daemon, name, ends - now)
+        heapq.heappush(answers, (ends, next(numbers), answer))
     took.sort()
     late = sum([time > 400 for time in took]) / len(took)
     return _Outcome(statistics.mean(spreads), late, took[int(len(took) * 0.99)])
