Bound what clients outside the limits cost

Cause: nothing bounded the bytes, session values and connections of callers, or what other ports take. On a host of 152 MB, sessions that kept setting values took 220 MB, requests without an end on the readiness and peers' ports 250 MB, and a hundred writes of 1 MiB at once refused ordinary callers; slow and silent connections stayed for good. Small pieces searched all bytes before them again.

Ruled out: a budget of a fifth of the memory (peak 140 to 164 MB).

--- a/monsoonproxy/client_connections.py
+++ b/monsoonproxy/client_connections.py
@@ -1,7 +1,6 @@
 """Accepts callers' connections and serves the sessions on them."""
 
 import asyncio
-import collections
 import itertools
 from typing import Any, Protocol
 
@@ -15,6 +14,7 @@
     OpenSession,
 )
 from monsoonproxy.logs import log_for
+from monsoonproxy.overload.byte_budgets import ByteBudget, Reservations
 from monsoonproxy.queries import Answer, Code, Query, TransactionState
 from monsoonproxy.server_connections import configure_keepalive
 from monsoonproxy.session_handlers import (
@@ -25,9 +25,27 @@
 
 _log = log_for('client')
 
-#: Messages of one caller that may be queued. With more, reading from its
-#: connection pauses until the queue is empty.
-_MAX_QUEUED_MESSAGES = 32
+#: Bytes of one caller that may wait behind a statement. With more, reading from
+#: its connection pauses.
+_MAX_WAITING_BYTES = 64 * 1024
+#: Bytes of a statement from which it needs a reservation while it is in work,
+#: and how often it is counted for the copies that are made on its way.
+_LARGE_STATEMENT = 16 * 1024
+_COPIES = 4
+#: The same while it waits for that: its text, and its argument.
+_PARSED_COPIES = 2
+#: Messages of one caller that are handled before others get their turn.
+_MESSAGES_PER_TURN = 16
+#: Longest wait in ms for that reservation.
+_RESERVATION_LIMIT = Millis(2_000)
+#: Share of the budget that large statements in work may take.
+_LARGE_SHARE = 0.25
+#: Times in ms that a caller has to open a session, to send the rest of a
+#: message, and to read its answers. A message of 1 MiB takes 2 s on the slowest
+#: links of hosts, 5 Mbit/s.
+_OPEN_LIMIT = Millis(5_000)
+_MESSAGE_LIMIT = Millis(10_000)
+_READ_LIMIT = Millis(10_000)
 #: Idle connections closed without yielding to the event loop. A small batch
 #: leaves little time for a request to arrive between the last read of a
 #: connection and its close.
@@ -56,6 +74,8 @@
     :param clock: Source of time.
     :param observer: Is notified when statements end.
     :param max_connections: Limit of open connections; further ones are refused.
+    :param max_bytes: Limit of the bytes of callers' messages; callers with most
+        are closed beyond it.
     """
 
     def __init__(
@@ -66,6 +86,7 @@
         clock: Clock,
         observer: StatementObserver,
         max_connections: int,
+        max_bytes: int,
     ) -> None:
         self.services = services
         self.limits = limits
@@ -78,6 +99,8 @@
         #: Why no more statements are run; empty while they are.
         self.stop_reason = ''
         self.max_connections = max_connections
+        self.budget = ByteBudget(max_bytes)
+        self.reservations = Reservations(int(max_bytes * _LARGE_SHARE))
         self._server: asyncio.Server | None = None
 
     async def start(self, address: str) -> None:
@@ -141,6 +164,23 @@
                     rolled_back += 1
         return rolled_back
 
+    def shed(self) -> None:
+        """Close the callers with most bytes until the budget holds."""
+        if not self.budget.is_exceeded:
+            return
+        chosen = self.budget.shed(_LARGE_STATEMENT)
+        for connection in tuple(self.connections):
+            if connection.account in chosen:
+                connection.shed('too many bytes of all callers')
+
+    def end_slow(self) -> None:
+        """Close the callers that have taken too long."""
+        now = self.clock.now()
+        for connection in tuple(self.connections):
+            reason = connection.overdue(now)
+            if reason:
+                connection.shed(reason)
+
     def stop(self) -> None:
         """Stop accepting and close all connections."""
         if self._server is not None:
@@ -166,13 +206,18 @@
     def __init__(self, listener: ClientListener) -> None:
         self._listener = listener
         self._reader = listener.dialect.caller_reader()
-        self._queue: collections.deque[CallerMessage]
-        self._queue = collections.deque()
+        self.account = listener.budget.open()
+        self._since = listener.clock.now()
+        #: Since when a message is incomplete, and an answer is not read.
+        self._incomplete_since: Millis | None = None
+        self._unread_since: Millis | None = None
         self._transport: Any = None
         self._task: asyncio.Task[None] | None = None
         self._writable: asyncio.Event | None = None
         self._closed = False
         self._paused = False
+        #: Whether a large statement waits until there is memory for it.
+        self._is_reserving = False
         self.handler: SessionHandler | None = None
 
     @property
@@ -185,7 +230,7 @@
         """Tell whether there is neither a request nor a transaction."""
         handler = self.handler
         in_transaction = handler and handler.transaction is not None
-        return not (self.busy or self._queue or in_transaction)
+        return not (self.busy or self._reader.has_message or in_transaction)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request or transaction is open."""
@@ -220,11 +265,22 @@
         self._listener.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
-        """Queue the requests that are complete and start to serve them."""
-        self._queue.extend(self._reader.feed(data))
-        if len(self._queue) > _MAX_QUEUED_MESSAGES:
+        """Keep what was received, and start to serve complete requests."""
+        if self._closed:
+            return
+        reader, listener = self._reader, self._listener
+        reader.feed(data)
+        listener.budget.set(self.account, self.account.held + len(data))
+        listener.shed()
+        if self._closed:
+            return
+        if not reader.has_message:
+            if self._incomplete_since is None:
+                self._incomplete_since = listener.clock.now()
+            return
+        if reader.buffered > _MAX_WAITING_BYTES:
             self._pause_reading()
-        if self._queue and self._task is None and not self._closed:
+        if self._task is None and not self._closed:
             loop = asyncio.get_running_loop()
             self._task = loop.create_task(self._serve())
 
@@ -232,6 +288,8 @@
         """End the session; a request that is running ends it afterwards."""
         self._closed = True
         self._listener.connections.discard(self)
+        if self._task is None:
+            self._listener.budget.close(self.account)
         self.resume_writing()
         if self._task is None and self.handler is not None:
             self.handler.end()
@@ -239,19 +297,54 @@
     def pause_writing(self) -> None:
         """Stop to serve requests while the caller reads too slowly."""
         self._writable = asyncio.Event()
+        self._unread_since = self._listener.clock.now()
 
     def resume_writing(self) -> None:
         """Go on serving requests, since the caller has read its answers."""
         if self._writable is not None:
             self._writable.set()
             self._writable = None
+        self._unread_since = None
+
+    def overdue(self, now: Millis) -> str:
+        """Tell why the caller has taken too long.
+
+        :param now: The time.
+        :returns: The reason, or an empty text if it has not.
+        """
+        if self.handler is None and now - self._since > _OPEN_LIMIT:
+            return f'no session was opened within {_OPEN_LIMIT} ms'
+        if _is_over(self._incomplete_since, _MESSAGE_LIMIT, now):
+            return f'a message took more than {_MESSAGE_LIMIT} ms'
+        if _is_over(self._unread_since, _READ_LIMIT, now):
+            return f'an answer was not read within {_READ_LIMIT} ms'
+        return ''
+
+    def shed(self, reason: str) -> None:
+        """Close the connection of a caller that costs too much.
+
+        :param reason: Human-readable explanation.
+        """
+        listener = self._listener
+        _log.bind(
+            session=self.handler.session.number if self.handler else 0,
+            held=self.account.held,
+            used=listener.budget.used,
+        ).info('Closed the connection of a caller: {}', reason)
+        self._reader = listener.dialect.caller_reader()
+        if self._task is not None and self._is_reserving:
+            self._task.cancel()
+        if self._writable is None and not self.busy:
+            listener.budget.set(self.account, 0)
+            self._refuse(Code.TOO_BIG, reason)
+            return
+        # A caller that does not read gets nothing more.
+        self._closed = True
+        self._transport.abort()
 
     async def _serve(self) -> None:
         try:
-            while self._queue and not self._closed:
-                await self._handle(self._queue.popleft())
-                if self._writable is not None:
-                    await self._writable.wait()
+            await self._serve_messages()
         except Exception:
             _log.exception(
                 'Unexpected error while serving a caller; connection closed'
@@ -259,7 +352,35 @@
             self.close()
         finally:
             self._task = None
-        self._finish_serving()
+            self._finish_serving()
+
+    async def _serve_messages(self) -> None:
+        budget = self._listener.budget
+        for turn in itertools.count(1):
+            reader = self._reader
+            buffered = reader.buffered
+            message = reader.next_message()
+            if message is None or self._closed:
+                return
+            size = buffered - reader.buffered
+            if size >= _LARGE_STATEMENT:
+                held = reader.buffered + size * _PARSED_COPIES
+                budget.set(self.account, held)
+                self._listener.shed()
+            await self._handle(message)
+            self._note_progress()
+            if self._writable is not None:
+                await self._writable.wait()
+            if turn % _MESSAGES_PER_TURN == 0:
+                # Messages that need no backend server don't suspend.
+                await asyncio.sleep(0)
+
+    def _note_progress(self) -> None:
+        reader = self._reader
+        self._listener.budget.set(self.account, reader.buffered)
+        has_rest = reader.buffered > 0 and not reader.has_message
+        now = self._listener.clock.now()
+        self._incomplete_since = now if has_rest else None
 
     def _pause_reading(self) -> None:
         if not self._paused:
@@ -268,6 +389,7 @@
 
     def _finish_serving(self) -> None:
         if self._closed:
+            self._listener.budget.close(self.account)
             if self.handler is not None:
                 self.handler.end()
             return
@@ -334,11 +456,31 @@
         listener = self._listener
         if listener.stop_reason and handler.transaction is None:
             return handler.refuse(listener.stop_reason)
-        answer = await handler.run(query)
+        answer = await self._run_reserved(handler, query)
         if listener.stop_reason and handler.state is TransactionState.OPEN:
             handler.abort(listener.stop_reason)
         return answer
 
+    async def _run_reserved(
+        self, handler: SessionHandler, query: Query
+    ) -> Answer:
+        """Run a statement; a large one once there is memory for its copies."""
+        size = len(query.text) * _COPIES
+        if len(query.text) < _LARGE_STATEMENT:
+            return await handler.run(query)
+        reservations = self._listener.reservations
+        self._is_reserving = True
+        try:
+            has_room = await reservations.acquire(size, _RESERVATION_LIMIT)
+        finally:
+            self._is_reserving = False
+        if not has_room:
+            return handler.refuse('too many large statements in work')
+        try:
+            return await handler.run(query)
+        finally:
+            reservations.release(size)
+
     def _answer_malformed(self, message: MalformedMessage) -> None:
         if self.handler is None or message.fatal:
             self._refuse(message.code, message.reason)
@@ -357,3 +499,7 @@
             self._transport.write(refusal)
         self._closed = True
         self.close()
+
+
+def _is_over(since: Millis | None, limit: Millis, now: Millis) -> bool:
+    return since is not None and now - since > limit
--- a/monsoonproxy/client_sessions.py
+++ b/monsoonproxy/client_sessions.py
@@ -31,6 +31,12 @@
 _ANSWER_WAIT = Millis(300)
 
 
+#: Greatest number of session values, or of prepared statements, and of their
+#: bytes together.
+_MAX_NAMES = 64
+_MAX_STATE_BYTES = 64 * 1024
+
+
 class _Connection(Protocol):
     def withdraw(self) -> None:
         """Cancel the exchange that is in progress on the connection."""
@@ -90,6 +96,36 @@
     late_attempts: set[Attempt] = attrs.Factory(set)
     runs_until: Millis = Millis(0)
 
+    def set_value(self, name: bytes, setting: bytes) -> bool:
+        """Set a session value, unless there are too many.
+
+        :param name: Its name.
+        :param setting: The value.
+        :returns: Whether it was set.
+        """
+        others = {key: held for key, held in self.values.items() if key != name}
+        size = sum([len(key) + len(held) for key, held in others.items()])
+        if not _fits(len(others), size + len(name) + len(setting)):
+            return False
+        self.values[name] = setting
+        return True
+
+    def prepare(self, name: bytes, prepared: Prepared) -> bool:
+        """Remember a prepared statement, unless there are too many.
+
+        :param name: Name that the caller chose.
+        :param prepared: The statement.
+        :returns: Whether it is remembered.
+        """
+        others = {
+            key: held for key, held in self.prepared.items() if key != name
+        }
+        size = sum([len(key) + len(held.shape) for key, held in others.items()])
+        if not _fits(len(others), size + len(name) + len(prepared.shape)):
+            return False
+        self.prepared[name] = prepared
+        return True
+
     def add_late_attempt(self, attempt: Attempt) -> None:
         """Track an attempt that still runs after its statement was answered.
 
@@ -143,6 +179,10 @@
             self.floor = position
 
 
+def _fits(others: int, size: int) -> bool:
+    return others < _MAX_NAMES and size <= _MAX_STATE_BYTES
+
+
 @attrs.define
 class PendingStatement:
     """A caller's statement that is being run.
--- a/monsoonproxy/dialects.py
+++ b/monsoonproxy/dialects.py
@@ -68,13 +68,29 @@
 
 
 class CallerReader(Protocol):
-    """Splits the bytes of a caller into messages."""
+    """Splits the bytes of a caller into messages, one at a time.
 
-    def feed(self, chunk: bytes) -> list[CallerMessage]:
-        """Decode bytes; an incomplete message is kept for the next call.
+    Messages that are not asked for stay bytes, which take less memory.
+    """
+
+    @property
+    def buffered(self) -> int:
+        """Return the number of bytes that are not decoded yet."""
+
+    @property
+    def has_message(self) -> bool:
+        """Tell whether a message is complete, or can't become valid."""
+
+    def feed(self, chunk: bytes) -> None:
+        """Add bytes.
 
         :param chunk: Bytes that the caller sent.
-        :returns: The messages that are complete now.
+        """
+
+    def next_message(self) -> CallerMessage | None:
+        """Decode the next message.
+
+        :returns: The message, or ``None`` if none is complete.
         """
 
 
--- a/monsoonproxy/gossip.py
+++ b/monsoonproxy/gossip.py
@@ -75,6 +75,8 @@
         self._clock = clock
         self._transport: Any = None
         self._server: asyncio.Server | None = None
+        #: Connections of peers that fetch a snapshot.
+        self._fetchers: set[SnapshotServer] = set()
         self._fetching: asyncio.Task[None] | None = None
         #: Peer to fetch from next, and whether it is in the own zone.
         self._source: Peer | None = None
@@ -88,7 +90,9 @@
             lambda: self, local_addr=(host, int(port))
         )
         self._server = await loop.create_server(
-            lambda: SnapshotServer(self._snapshots), host, int(port)
+            lambda: SnapshotServer(self._snapshots, self._fetchers),
+            host,
+            int(port),
         )
 
     async def run(self) -> None:
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -117,7 +117,7 @@
             ),
         )
         find = self.catalog.runner
-        self._relay = RelayServer(find)
+        self._relay = RelayServer(find, settings.caller_bytes)
         self._gossip = Gossip(
             self._own_peer(), self._peers, self.catalog, clock
         )
@@ -155,7 +155,8 @@
             dialect,
             clock,
             StatementRecorder(self._telemetry),
-            settings.max_callers,
+            settings.caller_limit,
+            settings.caller_bytes,
         )
 
     @property
@@ -183,6 +184,7 @@
         return {
             'callers': len(self._clients.connections),
             'callers_busy': self._clients.busy,
+            'callers_bytes': self._clients.budget.used,
             'configuration_version': version,
             'connections_lent': self._relay.leases,
             'daemons_alive': len(self._peers.alive(self._clock.now())),
@@ -379,6 +381,7 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(seconds(_SWEEP_INTERVAL))
+            self._clients.end_slow()
             if self.catalog.table is not None:
                 limit = self.catalog.table.idle_transaction
                 self._clients.end_idle_transactions(limit)
--- a/monsoonproxy/relay_messages.py
+++ b/monsoonproxy/relay_messages.py
@@ -175,7 +175,7 @@
     """Decodes messages from a byte stream."""
 
     def __init__(self) -> None:
-        self._rest = b''
+        self._buffer = bytearray()
 
     def feed(self, chunk: bytes) -> list[Request | Response]:
         """Decode the messages that a chunk completes.
@@ -184,21 +184,22 @@
         :returns: The messages that are complete now.
         :raises PeerError: If a message is malformed or too long.
         """
-        data = self._rest + chunk if self._rest else chunk
+        buffer = self._buffer
+        buffer += chunk
         found = []
         start = 0
-        while len(data) - start >= _LENGTH_BYTES:
+        while len(buffer) - start >= _LENGTH_BYTES:
             body = start + _LENGTH_BYTES
-            size = int.from_bytes(data[start:body], 'big')
+            size = int.from_bytes(buffer[start:body], 'big')
             if size > _MAX_MESSAGE_BYTES:
                 raise PeerError(
                     f'message of {size} bytes, limit {_MAX_MESSAGE_BYTES}'
                 )
-            if len(data) - body < size:
+            if len(buffer) - body < size:
                 break
             start = body + size
-            found.append(_decode(data[body:start]))
-        self._rest = data[start:]
+            found.append(_decode(bytes(buffer[body:start])))
+        del buffer[:start]
         return found
 
 
--- a/monsoonproxy/relay_server.py
+++ b/monsoonproxy/relay_server.py
@@ -35,10 +35,14 @@
     """Accepts connections of peers that borrow backend connections.
 
     :param find_runner: Returns the runner of a service, if this daemon has one.
+    :param max_bytes: Bytes of statements in work beyond which no more are read.
     """
 
-    def __init__(self, find_runner: FindRunner) -> None:
+    def __init__(self, find_runner: FindRunner, max_bytes: int) -> None:
         self.find_runner = find_runner
+        self.max_bytes = max_bytes
+        #: Bytes of statements that are not answered yet.
+        self.held = 0
         self.connections: set[RelayConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -90,6 +94,9 @@
         self._reader = relay_messages.Reader()
         self._transport: Any = None
         self._tasks: dict[int, asyncio.Task[None]] = {}
+        #: Bytes of statements of this peer, and whether reading is paused.
+        self._held = 0
+        self._is_paused = False
 
     def close(self) -> None:
         """Close the connection to the peer at once."""
@@ -114,10 +121,22 @@
             return
         for message in messages:
             self._handle(message)
+        if self._relay.held > self._relay.max_bytes and self._held:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def _hold(self, count: int) -> None:
+        """Count bytes of statements; read again once there is room."""
+        self._held += count
+        self._relay.held += count
+        if self._is_paused and self._relay.held <= self._relay.max_bytes:
+            self._is_paused = False
+            self._transport.resume_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End all leases of the peer; the backend servers roll back."""
         self._relay.connections.discard(self)
+        self._is_paused = False
         for task in self._tasks.values():
             task.cancel()
         for lent in self.leases.values():
@@ -136,7 +155,15 @@
         self._start(ask.stream, self._lend(ask))
 
     def _on_send(self, sent: relay_messages.Send) -> None:
-        self._start(sent.stream, self._forward(sent))
+        self._start(sent.stream, self._forward_counted(sent))
+
+    async def _forward_counted(self, sent: relay_messages.Send) -> None:
+        size = len(sent.payload)
+        self._hold(size)
+        try:
+            await self._forward(sent)
+        finally:
+            self._hold(-size)
 
     def _on_ping(self, ping: relay_messages.Ping) -> None:
         self._send(relay_messages.Pong(ping.stream))
--- a/monsoonproxy/session_handlers.py
+++ b/monsoonproxy/session_handlers.py
@@ -219,7 +219,8 @@
         # Otherwise an attempt of an answered statement could still run with
         # the old values after the caller was told of the new one.
         await self.session.end_late_attempts(self._clock)
-        self.session.values[query.name] = query.argument
+        if not self.session.set_value(query.name, query.argument):
+            return self._fail(Code.TOO_BIG, 'too many session values')
         return self._dialect.done(self.state)
 
     async def prepare(self, query: Query) -> Answer:
@@ -227,9 +228,9 @@
 
         It is prepared on a connection when it is first executed there.
         """
-        self.session.prepared[query.name] = Prepared.of(
-            query.argument, read_only=query.read_only
-        )
+        prepared = Prepared.of(query.argument, read_only=query.read_only)
+        if not self.session.prepare(query.name, prepared):
+            return self._fail(Code.TOO_BIG, 'too many prepared statements')
         return self._dialect.done(self.state)
 
     async def deallocate(self, query: Query) -> Answer:
--- a/monsoonproxy/snapshots.py
+++ b/monsoonproxy/snapshots.py
@@ -17,10 +17,16 @@
 
 #: Time limit in ms of fetching a snapshot.
 _TIMEOUT = Millis(1_500)
+#: Time limit in ms of serving one, for links of 5 Mbit/s.
+_SERVER_TIMEOUT = Millis(5_000)
 #: Maximum size in bytes of a decompressed document, and of one read.
 _MAX_BYTES = 8 * 1024 * 1024
 #: Size in bytes of the length in front of a request.
 _LENGTH_BYTES = 4
+#: Connections that are answered at once, and greatest size of a request: this
+#: port can be reached by others than daemons.
+_MAX_CONNECTIONS = 64
+_MAX_REQUEST_BYTES = 1024
 #: Compression level of zlib; this one takes 6 ms for 2,000 routes.
 _FAST_COMPRESSION = 1
 
@@ -137,20 +143,42 @@
     """Answers one snapshot request and closes the connection.
 
     :param snapshots: Configuration and entries of this daemon.
+    :param connections: All open connections, of which there may be some only.
     """
 
-    def __init__(self, snapshots: SnapshotStore) -> None:
+    def __init__(
+        self,
+        snapshots: SnapshotStore,
+        connections: 'set[SnapshotServer] | None' = None,
+    ) -> None:
         self._snapshots = snapshots
+        self._connections = connections if connections is not None else set()
         self._received = b''
         self._transport: Any = None
+        self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: Any) -> None:
         """Store the transport that the reply is written to."""
         self._transport = transport
+        if len(self._connections) >= _MAX_CONNECTIONS:
+            transport.abort()
+            return
+        self._connections.add(self)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(seconds(_SERVER_TIMEOUT), transport.abort)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Free the place of the connection."""
+        self._connections.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
 
     def data_received(self, data: bytes) -> None:
         """Reply once the request is complete; ignore a malformed one."""
         self._received += data
+        if len(self._received) > _MAX_REQUEST_BYTES:
+            self._transport.abort()
+            return
         size = int.from_bytes(self._received[:_LENGTH_BYTES], 'big')
         body = self._received[_LENGTH_BYTES:]
         if len(self._received) < _LENGTH_BYTES or len(body) < size:
@@ -191,4 +219,6 @@
         answer = b''
         while chunk := await reader.read(_MAX_BYTES):
             answer += chunk
+            if len(answer) > _MAX_BYTES:
+                raise PeerError(f'{address}: snapshot over {_MAX_BYTES} bytes')
     return answer
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -1,6 +1,7 @@
 """Fuzz tests of the platform program's decoders and of malformed input."""
 
 import asyncio
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -11,7 +12,7 @@
 
 from monsoonproxy import gossip_messages, relay_messages, snapshots
 from monsoonproxy.clock import Millis
-from monsoonproxy.dialects import dialects
+from monsoonproxy.dialects import CallerReader, dialects
 from monsoonproxy.exceptions import MonsoonError
 from monsoonproxy.supervisors import RestartRule, Supervisor
 from tests.fixtures import load_functions
@@ -60,6 +61,15 @@
         return False
 
 
+def _decode_all(reader: CallerReader, content: bytes) -> int:
+    """Decode all messages of a caller; return how many there are."""
+    reader.feed(content)
+    found = 0
+    while reader.next_message() is not None:
+        found += 1
+    return found
+
+
 @given(_MESSAGES)
 def test_messages_between_daemons(content: bytes) -> None:
     """Guards against a malformed message that ends the task reading it.
@@ -88,7 +98,7 @@
     """
     dialect = dialects.get('lines')()
     line = word + content + b'\r\n'
-    _accepts(lambda data: dialect.caller_reader().feed(data), line)
+    _accepts(partial(_decode_all, dialect.caller_reader()), line)
     _accepts(lambda data: dialect.answer_reader().feed(data), line)
 
 
