Let buckets fill from the start of the process

Change: a bucket of a daemon that was listed before fills from the start of its process, since the former process ran nothing after that; tokens are granted once those of the former process have expired; an operation waits up to 300 ms for the list of daemons. test_statements_find_open_connections reads more often before it counts, since reads go to all replicas now; its bound is as before.

--- a/monsoonproxy/organisations/holding.py
+++ b/monsoonproxy/organisations/holding.py
@@ -95,12 +95,17 @@
     :param own: Name of this daemon.
     :param holders: Returns the names of the daemons that hold the limit of an
         organisation.
+    :param started_at: When this process started.
     """
 
     def __init__(
-        self, own: str, holders: Callable[[str], tuple[str, ...]]
+        self,
+        own: str,
+        holders: Callable[[str], tuple[str, ...]],
+        started_at: Millis,
     ) -> None:
         self._own = own
+        self._started_at = started_at
         self._holders = holders
         #: From when this daemon may grant tokens; ``None`` until it knows all
         #: listed daemons, since it would take itself for the only holder.
@@ -114,15 +119,21 @@
     def start(self, now: Millis, *, was_listed: bool) -> None:
         """Begin to grant tokens, once all listed daemons are known.
 
-        Tokens that this daemon granted before it was restarted expire first.
+        If it was restarted, its buckets are empty at the start of this process,
+        and the tokens that the former one granted expire first.
 
         :param now: The time.
         :param was_listed: Whether it was listed before it started, so that the
             others know that it holds parts of limits.
         """
-        if self._starts_at is None:
-            delay = TOKEN_LIFETIME if was_listed else TAKEOVER_DELAY
-            self._starts_at = Millis(now + delay)
+        if self._starts_at is not None:
+            return
+        if was_listed:
+            expired_at = Millis(self._started_at + TOKEN_LIFETIME)
+            self._starts_at = max(now, expired_at)
+            self._update(self._started_at)
+        else:
+            self._starts_at = Millis(now + TAKEOVER_DELAY)
             self._update(self._starts_at)
 
     def configure(
@@ -160,7 +171,9 @@
             the limit, or not yet.
         """
         bucket = self._buckets.get(demand.organisation)
-        if bucket is None or now < bucket.filled_at:
+        if bucket is None or self._starts_at is None:
+            return None
+        if now < max(bucket.filled_at, self._starts_at):
             return None
         is_urgent = demand.priority <= self._best_priority
         has_reserve = bucket.burst >= _RESERVABLE and not is_urgent
@@ -177,6 +190,11 @@
         is_contended = recent > bucket.burst + bucket.rate
         return Grant(granted, left, wait, is_contended)
 
+    @property
+    def is_started(self) -> bool:
+        """Tell whether all listed daemons are known."""
+        return self._starts_at is not None
+
     def parts(self) -> dict[str, TokenBucket]:
         """Return the buckets that this daemon holds, by organisation."""
         return dict(self._buckets)
@@ -185,7 +203,6 @@
         """Make and change buckets; new ones begin empty at a time."""
         if self._starts_at is None:
             return
-        from_time = max(from_time, self._starts_at)
         held = (
             each
             for each in self._organisations.values()
--- a/monsoonproxy/organisations/quotas.py
+++ b/monsoonproxy/organisations/quotas.py
@@ -36,6 +36,10 @@
 #: Time in ms that a holder has to answer before the next one is asked. A round
 #: trip takes 1 to 2 ms; a small host may be busy for some 10 ms.
 _ANSWER_TIMEOUT = Millis(40)
+#: Longest time in ms for which an operation waits until the list of daemons has
+#: been read, and the pause between two looks.
+_DISCOVERY_TIME = Millis(300)
+_DISCOVERY_INTERVAL = 20
 
 
 @attrs.define(order=True)
@@ -96,7 +100,7 @@
         self._rng = rng
         self._placement = Placement()
         self._hosts: frozenset[Host] = frozenset()
-        self.holding = Holding(gossip.name, self._holders)
+        self.holding = Holding(gossip.name, self._holders, clock.now())
         self._organisations: Mapping[str, Organisation] = {}
         self._version = 0
         self._states: dict[str, _OrganisationState] = {}
@@ -196,6 +200,7 @@
         now = self._clock.now()
         if not state.waiters and state.allowance.take(now):
             return None
+        await self._wait_for_daemons()
         holders = self._holders(organisation)
         if not state.allowance.order(holders, priority, now):
             return state.allowance.retry_after(holders, priority, now)
@@ -252,6 +257,18 @@
             )
         state.waiters.clear()
 
+    async def _wait_for_daemons(self) -> None:
+        """Wait until other daemons are known, or this one is known to be alone.
+
+        Just after a start, it would take itself for the only holder.
+        """
+        until = self._clock.now() + _DISCOVERY_TIME
+        while not (self.holding.is_started or len(self._gossip.peers)):
+            if self._clock.now() >= until:
+                return
+            await asyncio.sleep(seconds(_DISCOVERY_INTERVAL))
+        self._place()
+
     def _hand_out(self, state: _OrganisationState) -> None:
         state.waiters.sort()
         now = self._clock.now()
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -236,23 +236,26 @@
 ) -> None:
     """Guards against a new connection for most statements.
 
-    Pattern: the statements of an organisation come through all daemons. Each
-    connection opened takes a slot as long as a statement.
+    Pattern: the statements of an organisation come through all daemons, and go
+    to all replicas. Each connection opened takes a slot as long as a statement.
     """
     site = shared_site
     callers = [
         await site.caller(SESSION_ROUTE, daemon, _SOUTH)
         for daemon in range(len(site.nodes))
     ]
-    for caller in callers:
-        assert not (await caller.run('READ a')).code
+    await _read_in_turn(callers, 12)
     before = _opened(site.nodes)
-    for _ in range(10):
-        for again in callers:
-            assert not (await again.run('READ a')).code
+    await _read_in_turn(callers, 10)
     assert _opened(site.nodes) - before <= 2
 
 
+async def _read_in_turn(callers: list[Caller], turns: int) -> None:
+    for _ in range(turns):
+        for caller in callers:
+            assert not (await caller.run('READ a')).code
+
+
 def _opened(nodes: list[Node]) -> int:
     return sum(
         node._telemetry._counters['connections_opened'] for node in nodes
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -92,7 +92,7 @@
 
     def start(self, name: str, *, was_listed: bool) -> None:
         """Start a daemon, or start it again with nothing in memory."""
-        own = Holding(name, self.holders)
+        own = Holding(name, self.holders, Millis(self.now))
         self.daemons[name] = _Daemon(name, own, Allowance(self.rng))
         own.configure({_ORG: self.limit}, 1, Millis(self.now))
         own.start(Millis(self.now), was_listed=was_listed)
