--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -18,8 +18,8 @@
 from stand_ins.programs import Daemon, ProgramSite, running
 from stand_ins.site import SESSION_ROUTE, Caller
 
-from monsoonproxy.clock import Clock, Millis
 from monsoonproxy.client_sessions import Session
+from monsoonproxy.clock import Clock, Millis
 from monsoonproxy.overload.byte_budgets import ByteBudget, Reservations
 from monsoonproxy.queries import Prepared
 from tests.fixtures import fixture, load_functions
--- a/tests/test_connection_plans.py
+++ b/tests/test_connection_plans.py
@@ -5,8 +5,8 @@
 from monsoonproxy.delegate_selection import choose_delegates, must_follow
 from monsoonproxy.models import Host
 from monsoonproxy.peer_list import Peer
-from monsoonproxy.stores import Revision
 from monsoonproxy.routes import ServiceRules
+from monsoonproxy.stores import Revision
 from tests.fixtures import load_functions
 
 load_tests = load_functions(__name__)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -105,6 +105,36 @@
     assert 'ran without' in _violations(trace)[0]
 
 
+def test_wrong_organisation() -> None:
+    """Guards against a check that accepts another organisation's connection."""
+    trace = _trace()
+    trace.group.executed.append(_executed(organisation=b'north'))
+    assert 'instead of' in _violations(trace)[0]
+
+
+def test_over_limit() -> None:
+    """Guards against a check that accepts more than an organisation's limit."""
+    for count, is_over in ((284, False), (285, True)):
+        group = Group('ledger')
+        ids = [f'{number:016x}'.encode() for number in range(count)]
+        sent = {
+            request_id: SentStatement(
+                b'READ i1', request_id.decode(), b'c1', b'south'
+            )
+            for request_id in ids
+        }
+        group.executed = [
+            _executed(
+                request_id=request_id,
+                organisation=b'south',
+                at=100 + 4.9 * number / count,
+            )
+            for number, request_id in enumerate(ids)
+        ]
+        found = _violations(SoakTrace(CallerLog(sent=sent), group))
+        assert bool(found) == is_over, found
+
+
 def test_forged_answer() -> None:
     """Guards against a check that accepts rows not covered by the signature."""
     trace = _trace()
