Let operations wait for tokens just after a start

Change: in the first 2.5 s of a process, an operation waits up to 0.7 s for a token before it is refused.

Result: tests.test_quotas: 15 passed.

--- a/monsoonproxy/organisations/quotas.py
+++ b/monsoonproxy/organisations/quotas.py
@@ -40,6 +40,11 @@
 #: been read, and the pause between two looks.
 _DISCOVERY_TIME = Millis(300)
 _DISCOVERY_INTERVAL = 20
+#: Time in ms after the start of this process in which operations wait for
+#: tokens, longest wait of one, and the pause between two attempts.
+_START_TIME = Millis(2_500)
+_START_WAIT = Millis(700)
+_START_INTERVAL = 50
 
 
 @attrs.define(order=True)
@@ -95,6 +100,7 @@
     ) -> None:
         self._gossip = gossip
         self._own = Host(gossip.name, zone)
+        self._started_at = clock.now()
         self._clock = clock
         self._telemetry = telemetry
         self._rng = rng
@@ -149,6 +155,9 @@
         now = self._clock.now()
         state.allowance.record_operation(now)
         refusal = await self._take(organisation, state, priority)
+        while refusal is not None and self._may_wait(now):
+            await asyncio.sleep(seconds(_START_INTERVAL))
+            refusal = await self._take(organisation, state, priority)
         if refusal is None:
             state.admitted += 1
         else:
@@ -156,6 +165,17 @@
             self._telemetry.count('operations_over_limit')
         return refusal
 
+    def _may_wait(self, since: Millis) -> bool:
+        """Tell whether an operation had better wait than be refused.
+
+        After a start of all daemons, the holders have no tokens for a moment.
+
+        :param since: When the operation began.
+        """
+        now = self._clock.now()
+        is_start = now - self._started_at < _START_TIME
+        return is_start and now - since < _START_WAIT
+
     def status(self) -> dict[str, OrganisationStatus]:
         """Return limit and use of each organisation, for operators.
 
