Explain where a statement would go, without sending it

Operators could not ask a daemon why a request was refused, or where it would go now.

Change: GET /explain on the operators' port of a daemon, and monsoonctl explain, show route, organisation, required position, candidates with their shares, expected times and queues, and the refusal if there is one. They call the functions that decide.

--- a/monsoonproxy/cli.py
+++ b/monsoonproxy/cli.py
@@ -13,6 +13,7 @@
 
 from monsoonproxy import actions, daemon_client
 from monsoonproxy.configuration_store import Platform
+from monsoonproxy.explain_command import Explain
 from monsoonproxy.exceptions import (
     ConflictError,
     MonsoonError,
@@ -304,7 +305,16 @@
     """Global options and the subcommand."""
 
     command: cappa.Subcommands[
-        Check | Diff | Apply | Show | History | Status | Drain | Report | Keys
+        Check
+        | Diff
+        | Apply
+        | Show
+        | History
+        | Status
+        | Drain
+        | Report
+        | Keys
+        | Explain
     ]
     json: Annotated[
         bool, cappa.Arg(long=True, propagate=True, help='Print JSON.')
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -142,7 +142,7 @@
         self._promoter = Promoter(store, self._gossip, poller, find, clock)
         self.catalog.on_leader_suspected = self._promoter.check_leader
         self.catalog.on_update = self._announce_update
-        self._quotas = Quotas(
+        self.quotas = Quotas(
             self._gossip,
             settings.availability_zone,
             clock,
@@ -151,7 +151,7 @@
         )
         self._clients = ClientListener(
             self.catalog,
-            self._quotas,
+            self.quotas,
             dialect,
             clock,
             StatementRecorder(self._telemetry),
@@ -169,11 +169,11 @@
     def metrics_text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         text = self._telemetry.text(self.gauges())
-        return (text + organisations_text(self._quotas.status())).encode()
+        return (text + organisations_text(self.quotas.status())).encode()
 
     def organisations(self) -> dict[str, OrganisationStatus]:
         """Return limit and use of each organisation, by name."""
-        return self._quotas.status()
+        return self.quotas.status()
 
     def gauges(self) -> dict[str, int]:
         """Return the current values of the gauges.
@@ -285,9 +285,9 @@
     async def _on_peers_listed(self) -> None:
         """Plan with the listed peers, and ask delegates for updates."""
         self._replan()
-        self._quotas.update_daemons()
+        self.quotas.update_daemons()
         if self._joiner.has_joined:
-            self._quotas.holding.start(
+            self.quotas.holding.start(
                 self._clock.now(), was_listed=self._joiner.was_listed
             )
         receivers = self._peers.with_relays(self._delegation.delegates)
@@ -308,7 +308,7 @@
         self._is_planned = False
         self._lender_cache.clear()
         if self.catalog.table is not None:
-            self._quotas.configure(self.catalog.table)
+            self.quotas.configure(self.catalog.table)
         self._replan()
 
     def _lender_unresponsive(self, relay: str) -> None:
@@ -387,7 +387,7 @@
                 self._clients.end_idle_transactions(limit)
             self.catalog.expire()
             self._replan()
-            self._quotas.update_daemons()
+            self.quotas.update_daemons()
             self._joiner.check_listing(self._store_era())
             await self._update_delegation()
             for runner in self.catalog.runners.values():
--- a/monsoonproxy/organisations/quotas.py
+++ b/monsoonproxy/organisations/quotas.py
@@ -165,6 +165,22 @@
             self._telemetry.count('operations_over_limit')
         return refusal
 
+    def refusal(self, organisation: str, priority: int) -> Millis | None:
+        """Tell whether an operation would be refused now without asking.
+
+        :param organisation: Name of the organisation; empty for none.
+        :param priority: Priority of the operation; 0 is the highest.
+        :returns: The time in ms after which the caller may come back, or
+            ``None`` if a holder of the limit would be asked.
+        """
+        state = self._states.get(organisation)
+        if state is None or organisation not in self._organisations:
+            return None
+        now, holders = self._clock.now(), self._holders(organisation)
+        if state.allowance.order(holders, priority, now):
+            return None
+        return state.allowance.retry_after(holders, priority, now)
+
     def _may_wait(self, since: Millis) -> bool:
         """Tell whether an operation had better wait than be refused.
 
--- a/monsoonproxy/selection.py
+++ b/monsoonproxy/selection.py
@@ -251,20 +251,35 @@
     :param rng: Source of randomness.
     :returns: The choice, or ``None`` if all were tried.
     """
+    equals, weights = weigh(targets, floor, tried, now)
+    if len(equals) < 2:
+        return equals[0] if equals else None
+    return rng.choices(equals, weights)[0]
+
+
+def weigh(
+    targets: Iterable[ReadTarget],
+    floor: Position | None,
+    tried: Mapping[str, object],
+    now: Millis,
+) -> tuple[list[ReadTarget], list[float]]:
+    """Return the backend servers that a read may go to, with their weights.
+
+    :param targets: The backend servers.
+    :param floor: Position that the read must reflect.
+    :param tried: Backend servers that this read was sent to before.
+    :param now: The time.
+    :returns: The best ones, and in which proportion they are chosen.
+    """
     usable = [
         (_preference(target, floor, now), target)
         for target in targets
         if target.name not in tried and not target.is_leaving
     ]
-    if not usable:
-        return None
-    best = min(rank for rank, _target in usable)
+    best = min((rank for rank, _target in usable), default=0)
     equals = [target for rank, target in usable if rank == best]
-    if len(equals) == 1:
-        return equals[0]
     costs = [target.cost(now) for target in equals]
-    weights = [(min(costs) / cost) ** _PREFERENCE for cost in costs]
-    return rng.choices(equals, weights)[0]
+    return equals, [(min(costs) / cost) ** _PREFERENCE for cost in costs]
 
 
 def _preference(target: ReadTarget, floor: Position | None, now: Millis) -> int:
