Recover from unexpected errors while connections open

Cause: an unexpected error while a connection was opened left it counted as opening for ever, so that the pool lost a place with each; closing one did the same in the MySQL interface. A borrower waited for its timeout when handling its request failed at the lender.

--- a/monsoonproxy/backends.py
+++ b/monsoonproxy/backends.py
@@ -18,9 +18,12 @@
     ConnectionLostError,
     TooManyConnectionsError,
 )
+from monsoonproxy.logs import log_for
 from monsoonproxy.models import BackendReport, Role
 from monsoonproxy.polling import Poll
 
+_log = log_for('backend')
+
 #: Called with the name of the backend server, its report and the time at which
 #: the poll was sent.
 ReportHandler: TypeAlias = Callable[[str, BackendReport, Millis], None]
@@ -321,6 +324,12 @@
             if not too_many:
                 self._fail_waiters(ConnectionLostError(str(exc)))
             return
+        except Exception as exc:
+            # Otherwise, the connection would count as opening for ever.
+            _log.exception('Opening a connection failed unexpectedly')
+            self._sizer.open_failed(too_many=False, now=self._clock.now())
+            self._fail_waiters(ConnectionLostError(f'{self.address}: {exc!r}'))
+            return
         number = next(self._connection_numbers)
         self._connections[number] = conn
         self._execute(self._sizer.opened(number, self._clock.now()))
@@ -328,10 +337,12 @@
 
     async def _close_connection(self, number: int) -> None:
         conn = self._connections.pop(number, None)
-        if conn is not None:
-            await conn.close()
-        self._sizer.closed(number)
-        self._pool_changed.set()
+        try:
+            if conn is not None:
+                await conn.close()
+        finally:
+            self._sizer.closed(number)
+            self._pool_changed.set()
 
     async def _poll_until_lost(self, on_report: ReportHandler) -> None:
         conn = await self.connect()
--- a/monsoonproxy/direct_pools.py
+++ b/monsoonproxy/direct_pools.py
@@ -361,6 +361,12 @@
         except ConnectionLostError as exc:
             self._on_open_failed(exc, organisation, too_many=False)
             return
+        except Exception as exc:
+            # Otherwise, the connection would count as opening for ever.
+            _log.exception('Opening a connection failed unexpectedly')
+            lost = ConnectionLostError(f'{self.server.address}: {exc!r}')
+            self._on_open_failed(lost, organisation, too_many=False)
+            return
         now = self._clock.now()
         self.open_answered_at = now
         if answer.code is Code.WRONG_SERVER:
--- a/monsoonproxy/relay_server.py
+++ b/monsoonproxy/relay_server.py
@@ -180,6 +180,14 @@
             _log.opt(exception=task.exception()).error(
                 'Handling a request of a borrowing peer failed'
             )
+            self._report_failure(stream)
+
+    def _report_failure(self, stream: int) -> None:
+        reason = 'unexpected error at the lender'
+        if stream in self.leases:
+            self._send(relay_messages.Broken(stream, reason))
+        else:
+            self._send(relay_messages.Denied(stream, reason, unreachable=False))
 
     def _cluster_of(self, lent: _LentConnection) -> Cluster:
         return lent.lease.cluster
