Test that withdrawn keys of the MySQL interface stay withdrawn

Cause: docs/PROOFS.md listed keys of the MySQL interface after a restart as not looked for (a key in use again after a restart).

Result: not real here. A daemon that starts with the newest key file refuses a peer whose pair was rotated out, also if it knows the new public key, and a token whose key has expired.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import tempfile
 from collections.abc import AsyncIterator, Sequence
 
 import zmq
@@ -153,6 +154,28 @@
     assert await _connects(keys.rotate(old, now, 1000), old)
 
 
+async def test_withdrawn_keys_after_a_restart() -> None:
+    """Guards against a key pair that is accepted again after a restart.
+
+    Two rotations withdraw the pair of a daemon that has missed them, and that
+    has learned the new public key of another one, which starts with the newest
+    key file.
+    """
+    now = Clock().wall()
+    missed = keys.create(now)
+    newest = keys.rotate(keys.rotate(missed, now, 1000), now, 1000)
+    own = missed.peers[0]
+    used = (own, CurveKeys(newest.peers[0].public, own.secret))
+    with tempfile.TemporaryDirectory() as directory:
+        path = f'{directory}/keys.toml'
+        keys.save(path, newest)
+        restarted = keys.load(path)
+    made = Pair(restarted.peers, used)
+    connected = await made.link.wait_connected(2)
+    await made.close()
+    assert not connected
+
+
 async def test_generated_identities_are_dropped() -> None:
     """Guards against taking a generated identity for a peer's address.
 
--- a/tests/test_session_tokens.py
+++ b/tests/test_session_tokens.py
@@ -1,9 +1,11 @@
 """Tests of session tokens."""
 
+import tempfile
+
 from hypothesis import given
 from hypothesis import strategies as st
 
-from monsoonproxy import session_tokens
+from monsoonproxy import keys, session_tokens
 from monsoonproxy.clock import Millis
 from monsoonproxy.exceptions import TokenError
 from monsoonproxy.models import Position
@@ -71,3 +73,23 @@
     assert 'another service' in _reason(_BOTH, late, 'hire-2', 600)
     same_id = session_tokens.Signer([session_tokens.Key('new', b'x' * 32)])
     assert 'known key' in _reason(same_id, late, 'hire', 600)
+
+
+def test_withdrawn_key_after_a_restart() -> None:
+    """Guards against a token whose key was withdrawn before a restart.
+
+    The key file keeps the old key until it expires, so a daemon that starts
+    reads it again, and must not take it for a valid one.
+    """
+    created = keys.create(Millis(0))
+    token = session_tokens.Signer(created.tokens).sign(
+        'hire', Position(3, 4), Millis(0)
+    )
+    rotated = keys.rotate(created, Millis(0), 1000)
+    expires = keys.ACTIVATION_DELAY + 1000
+    with tempfile.TemporaryDirectory() as directory:
+        path = f'{directory}/keys.toml'
+        keys.save(path, rotated)
+        restarted = session_tokens.Signer(keys.load(path).tokens)
+    assert _reason(restarted, token, 'hire', expires - 1) == 'accepted'
+    assert _reason(restarted, token, 'hire', expires) != 'accepted'
