--- a/tests/test_manuals.py
+++ b/tests/test_manuals.py
@@ -95,7 +95,7 @@
 
 
 def _sources() -> str:
-    paths = (_ROOT / 'monsoonproxy').glob('*.py')
+    paths = (_ROOT / 'monsoonproxy').rglob('*.py')
     return '\n'.join(path.read_text() for path in paths)
 
 
