Bound what callers of the MySQL interface cost

Cause: nothing bounded the bytes of all its callers together. With packets of up to 64 MiB, some hundred callers that stop half-way fill any memory; a session could keep 16,382 long statements, each with 64 MiB of long parameters; half a packet, or an answer that is never read, held a connection for good.

Ruled out: an account for each connection, since idle ones have to stay small; one time for all packets, since 64 MiB take 107 s on a link of 5 Mbit/s.

--- a/monsoonproxy/caller_connections.py
+++ b/monsoonproxy/caller_connections.py
@@ -55,6 +55,36 @@
         super().__init__(frontend, self)
         self._close_requested = False
         self._abandon_transaction = False
+        self._running_bytes = 0
+
+    # What the guard of the frontend asks.
+
+    @property
+    def held(self) -> int:
+        """Return how many bytes are held for the caller; 0 once it has left."""
+        if self.stream.closed:
+            return 0
+        return self.stream.held + self._running_bytes + self.kept
+
+    @property
+    def awaited_packet(self) -> object:
+        """Return the number of the packet that has begun to arrive."""
+        return self.stream.awaited_packet
+
+    @property
+    def unread_answer(self) -> object:
+        """Return what stands for the output that the caller has to read."""
+        return self.stream.unread_answer
+
+    def shed(self, reason: str) -> None:
+        """Close the connection of a caller that costs too much.
+
+        :param reason: Human-readable explanation.
+        """
+        _log.bind(session=self.state.number).info(
+            'Caller connection closed: {}', reason
+        )
+        self.abort()
 
     # Callbacks of the stream.
 
@@ -71,11 +101,13 @@
 
     def data_available(self) -> None:
         """Run the commands that arrived, unless a task is already running."""
+        self.frontend.guard.update(self)
         if self._task is None and not self.stream.closing:
             self._start_task(self._run_commands)
 
     def connection_closed(self) -> None:
         """End the session after the caller has disconnected."""
+        self.frontend.guard.remove(self)
         if self in self.frontend.connections:
             self.frontend.spawn(self._end_session())
 
@@ -164,7 +196,10 @@
     async def _run_commands(self) -> None:
         while self.stream.has_input:
             packet = await self.stream.read()
+            self._running_bytes = len(packet)
             await self._run_command(packet)
+            self._running_bytes = 0
+            self.frontend.guard.update(self)
             self.stream.reset_seq()
             if self._close_requested and self._can_close:
                 await self._close_with_error()
--- a/monsoonproxy/callers.py
+++ b/monsoonproxy/callers.py
@@ -64,6 +64,8 @@
         self.connection_id = self.state.number & 0xFFFFFFFF
         self.prepared: dict[int, bindings.Prepared] = {}
         self.last_prepared = 0
+        #: Bytes of prepared statements and of their long data.
+        self.kept = 0
         # Copied from the capabilities, because testing enumeration flags for
         # each statement is slow.
         self.deprecates_eof = False
@@ -159,6 +161,7 @@
         old = self.state
         self.state = old.renew(next(self.frontend.session_ids), service)
         self.prepared = {}
+        self.kept = 0
         await self.frontend.executor.close(old)
 
     def may_use(self, service: str) -> bool:
--- a/monsoonproxy/commands.py
+++ b/monsoonproxy/commands.py
@@ -122,6 +122,7 @@
         return
     conn.last_prepared += 1
     conn.prepared[conn.last_prepared] = bindings.Prepared(parts)
+    conn.kept += sum(map(len, parts))
     conn.stream.put(
         *packets.prepared(
             conn.last_prepared, parameters, conn.status, conn.deprecates_eof
@@ -138,7 +139,7 @@
             reader, prepared, conn.sends_attributes
         )
     finally:
-        prepared.long_data = None
+        _drop_long_data(conn, prepared)
     await _run_sql(conn, sql, attributes, binaries.binary_encoder)
 
 
@@ -160,17 +161,28 @@
             1153, 'long data of a statement is larger than the packet limit'
         )
     prepared.long_data.setdefault(index, bytearray()).extend(chunk)
+    conn.kept += len(chunk)
 
 
 @handles(Commands.COM_STMT_RESET)
 async def _reset_statement(conn: 'CallerConnection', content: bytes) -> None:
-    _find_prepared(conn, bindings.Reader(content)).long_data = None
+    _drop_long_data(conn, _find_prepared(conn, bindings.Reader(content)))
     conn.stream.put(packets.ok(conn.status))
 
 
 @handles(Commands.COM_STMT_CLOSE)
 async def _close_statement(conn: 'CallerConnection', content: bytes) -> None:
-    conn.prepared.pop(bindings.Reader(content).number(4), None)
+    prepared = conn.prepared.pop(bindings.Reader(content).number(4), None)
+    if prepared is not None:
+        _drop_long_data(conn, prepared)
+        conn.kept -= sum(map(len, prepared.parts))
+
+
+def _drop_long_data(
+    conn: 'CallerConnection', prepared: bindings.Prepared
+) -> None:
+    long_data, prepared.long_data = prepared.long_data, None
+    conn.kept -= sum(map(len, (long_data or {}).values()))
 
 
 def _find_prepared(
--- a/monsoonproxy/frontends.py
+++ b/monsoonproxy/frontends.py
@@ -13,6 +13,10 @@
 from monsoonproxy.caller_connections import CallerConnection
 from monsoonproxy.clock import Clock
 from monsoonproxy.identities import Identities
+from monsoonproxy.overload.caller_guards import CallerGuard, GuardRules
+
+#: Time in s between two looks for callers that stop half-way.
+_GUARD_INTERVAL = 1.0
 
 
 class Executor(Protocol):
@@ -74,12 +78,14 @@
     :param linger: Time in ms for which input is still read and discarded
         while a connection is closed, so that the caller receives the error
         packet with the reason.
+    :param guard: What callers may cost together.
     """
 
     packet: int = 64 * 1024 * 1024
     connections: int = 20_000
     handshake: int = 10_000
     linger: int = 1000
+    guard: GuardRules = attrs.Factory(GuardRules)
 
 
 class Frontend:
@@ -116,6 +122,7 @@
         self.draining = False
         self.session_ids = itertools.count(1)
         self.connections: set[CallerConnection] = set()
+        self.guard = CallerGuard(self.limits.guard)
         self._server: asyncio.Server | None = None
         self._changed = asyncio.Event()
         self._tasks = Background()
@@ -135,6 +142,7 @@
         self._server = await loop.create_server(
             self._accept, host, port, backlog=1024
         )
+        self._close_stalled()
         address = self._server.sockets[0].getsockname()
         return int(address[1])
 
@@ -200,6 +208,13 @@
         """
         self._tasks.spawn(work).add_done_callback(self._task_done)
 
+    def _close_stalled(self) -> None:
+        """Close the callers that stop half-way, now and in intervals."""
+        self.guard.close_stalled(self.connections, self.clock.now())
+        if self.connections or (self._server and self._server.is_serving()):
+            loop = asyncio.get_running_loop()
+            loop.call_later(_GUARD_INTERVAL, self._close_stalled)
+
     def _task_done(self, _task: asyncio.Task[None]) -> None:
         self._changed.set()
 
--- a/monsoonproxy/streams.py
+++ b/monsoonproxy/streams.py
@@ -169,6 +169,7 @@
     _read_waiter: asyncio.Future[None] | None = None
     _reading_paused: bool = False
     _partial_packet: list[bytes] | None = None
+    _packets: int = 0
 
     def connection_made(self, transport: Any) -> None:
         """Set the transport, and report the first one to the listener.
@@ -216,6 +217,38 @@
         """
         return self._input is not None
 
+    @property
+    def held(self) -> int:
+        """Bytes of packets that are not read, and of output that is not sent.
+
+        :returns: Their number.
+        """
+        received = len(self._input or b'')
+        received += sum(map(len, self._partial_packet or ()))
+        if self._write_waiter is None:
+            return received
+        return received + int(self.transport.get_write_buffer_size())
+
+    @property
+    def awaited_packet(self) -> int | None:
+        """Number of the packet that a read waits for the rest of.
+
+        :returns: The number, or ``None`` if no packet has begun to arrive.
+        """
+        if self._read_waiter is None:
+            return None
+        begun = self.has_input or self._partial_packet is not None
+        return self._packets if begun else None
+
+    @property
+    def unread_answer(self) -> object:
+        """Output that fills the transport until the caller reads.
+
+        :returns: An object that is replaced when the caller has read some, or
+            ``None``.
+        """
+        return self._write_waiter
+
     async def read(self) -> bytes:
         """Read the next packet.
 
@@ -241,6 +274,7 @@
             return None
         payload = bytes(memoryview(buffered)[_HEADER_BYTES:end])
         self._consume(buffered, end)
+        self._packets += 1
         self._sequence = (self._sequence + 1) % _SEQUENCE_NUMBERS
         if size == MAX_FRAME_BYTES:
             self._partial_packet = [*(self._partial_packet or ()), payload]
