Let no order and no daemon promote a second time for one failure

Change: the next order of a promotion has a token of its own, so that the earlier one is refused, unless the target leads by then. A daemon that reads the tokens for the first time and finds one that names another backend server than the failed leader waits for that promotion first.

Ruled out: the choice of replicas and their floors; the reads were flagged for commits that the promotion rolled back.

The tests of unique tokens name the failed leader now, with the same expected tokens.

--- a/monsoonproxy/fencing_tokens.py
+++ b/monsoonproxy/fencing_tokens.py
@@ -38,12 +38,14 @@
 
     :param revision: Revision of the row; version 0 if there is none.
     :param token: Greatest token seen in a row.
+    :param entry: Content of the latest row.
     :param announced: Greatest token that another daemon announced.
     :param announced_at: When that was announced, or ``None`` if never.
     """
 
     revision: Revision = Revision()
     token: int = 0
+    entry: _Entry = attrs.Factory(_Entry)
     announced: int = 0
     announced_at: Millis | None = None
 
@@ -105,12 +107,19 @@
             state.announced >= state.token and now - state.announced_at < within
         )
 
-    async def claim(self, service: str, server_id: str) -> int | None:
+    async def claim(
+        self, service: str, server_id: str, replaced: str = ''
+    ) -> int | None:
         """Claim the next token of a service.
 
+        A daemon that reads the tokens for the first time may find one that
+        another daemon has just claimed for the same failure, and that it has
+        not heard of.
+
         :param service: Name of the service.
         :param server_id: Backend server to be promoted with the token.
-        :returns: The token, or ``None`` if another daemon has just claimed
+        :param replaced: Backend server that led until now, if one did.
+        :returns: The token, or ``None`` if another daemon may just have claimed
             one; a token that this daemon claimed on top of it stays unused.
         :raises PlatformError: If the store does not answer. The token may have
             been claimed nevertheless, which does no harm.
@@ -118,25 +127,37 @@
         announced = self._state(service).announced
         for _ in range(_CLAIM_ATTEMPTS - 1):
             try:
-                return await self._claim(service, server_id, announced)
+                return await self._claim(
+                    service, server_id, replaced, announced
+                )
             except StoreRestoredError as exc:
                 # The row may be gone, and its version be given out again.
                 _log.info('Reading all fencing tokens again: {}', exc)
                 self._era = None
-        return await self._claim(service, server_id, announced)
+        return await self._claim(service, server_id, replaced, announced)
 
     async def _claim(
-        self, service: str, server_id: str, announced: int
+        self, service: str, server_id: str, replaced: str, announced: int
     ) -> int | None:
         """Claim a token, unless another one than given is announced."""
+        is_first = self._era is None
         await self._load()
         state = self._state(service)
+        if is_first and self._may_be_pending(state.entry, server_id, replaced):
+            _log.info(
+                'Fencing token {} for {} was claimed by {} to promote {}',
+                state.token,
+                service,
+                state.entry.holder,
+                state.entry.server_id,
+            )
+            return None
         least = _least_token(state.revision)
         token = max(least, self.newest(service) + 1)
         entry = _Entry(self._name, token, server_id)
         content = msgspec.json.encode(entry)
-        replaced = state.revision
-        row = await self._write(service, content, replaced)
+        expected = state.revision
+        row = await self._write(service, content, expected)
         found = self._record_row(service, row)
         if found != entry or state.announced != announced:
             return None
@@ -145,10 +166,22 @@
             entry.token,
             service,
             row.revision,
-            replaced,
+            expected,
         )
         return entry.token
 
+    def _may_be_pending(
+        self, found: _Entry, server_id: str, replaced: str
+    ) -> bool:
+        """Tell whether the promotion of a claim may still be under way.
+
+        It is not if its backend server is the one to be replaced, nor if this
+        daemon has just made the claim itself.
+        """
+        own = (self._name, server_id)
+        is_own = (found.holder, found.server_id) == own
+        return found.server_id not in {'', replaced} and not is_own
+
     async def _load(self) -> None:
         """Read the tokens in the store, at the first claim in an era."""
         if self._era is not None:
@@ -194,6 +227,7 @@
             found = _Entry()
         state.revision = row.revision
         state.token = max(state.token, found.token)
+        state.entry = found
         return found
 
 
--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -264,7 +264,9 @@
         """Promote another backend server; return whether there is a leader."""
         cluster = runner.cluster
         cluster.lead.mark_not_leading(member)
-        return await self._elect(cluster, _other_members(cluster, member))
+        return await self._elect(
+            cluster, _other_members(cluster, member), member.server.server_id
+        )
 
     async def _replace_missing(self, runner: StatementRunner) -> None:
         cluster = runner.cluster
@@ -275,9 +277,14 @@
         )
         await self._elect(cluster, list(cluster.members.values()))
 
-    async def _elect(self, cluster: Cluster, members: list[Member]) -> bool:
+    async def _elect(
+        self, cluster: Cluster, members: list[Member], replaced: str = ''
+    ) -> bool:
         """Promote one of some backend servers, unless another daemon does.
 
+        :param cluster: The backend servers of the service.
+        :param members: Those that may lead.
+        :param replaced: Identity of the failed leader, if there was one.
         :returns: Whether there is a leader.
         """
         service = cluster.rules.name
@@ -293,12 +300,13 @@
         if target is None:
             _log.warning('Service {} has no candidate to promote', service)
             return False
-        return await self._promote(cluster, target)
+        return await self._promote(cluster, target, replaced)
 
     async def _promote(
         self,
         cluster: Cluster,
         target: str,
+        replaced: str,
         planned: PlannedChange | None = None,
     ) -> bool:
         service = cluster.rules.name
@@ -306,7 +314,7 @@
             # Announced while the candidates were asked.
             return await _wait_for_leader(cluster)
         try:
-            token = await self.tokens.claim(service, target)
+            token = await self.tokens.claim(service, target, replaced)
         except PlatformError as exc:
             _log.warning(
                 'Fencing token for {} could not be claimed: {}', service, exc
@@ -328,16 +336,21 @@
                 target,
             )
             return False
-        if not await self._order_promotion(service, target, token):
+        if not await self._order_promotion(cluster, target, token):
             return False
-        self._announce(service, target, token)
+        self._announce(service, target, self.tokens.newest(service))
         cluster.lead.leadership.announce_successor(target, self._clock.now())
         cluster.lead.find()
         return await _wait_for_leader(cluster)
 
     async def _order_promotion(
-        self, service: str, target: str, token: int
+        self, cluster: Cluster, target: str, token: int
     ) -> bool:
+        """Order a promotion, again if an order is not answered.
+
+        :returns: Whether it was ordered.
+        """
+        service = cluster.rules.name
         for _ in range(_ORDER_ATTEMPTS):
             if self.tokens.newest(service) > token:
                 _log.info(
@@ -347,24 +360,61 @@
                     service,
                 )
                 return False
-            try:
-                await self._store.promote(service, target, self._name, token)
-            except FencedError as exc:
-                _log.warning('Promotion order refused: {}', exc)
-                return False
-            except PlatformError as exc:
-                _log.warning('Promotion order failed: {}', exc)
-                await asyncio.sleep(seconds(_ORDER_PAUSE))
-            else:
-                _log.info(
-                    'Ordered promotion of {} for {} with fencing token {}',
-                    target,
-                    service,
-                    token,
-                )
+            is_ordered = await self._send_order(service, target, token)
+            if is_ordered is not None:
+                return is_ordered
+            if await self._leads(cluster, target):
                 return True
+            token = await self._renew_token(service, target, token)
         return False
 
+    async def _send_order(
+        self, service: str, target: str, token: int
+    ) -> bool | None:
+        """Order a promotion; return ``None`` if there was no answer."""
+        try:
+            await self._store.promote(service, target, self._name, token)
+        except FencedError as exc:
+            _log.warning('Promotion order refused: {}', exc)
+            return False
+        except PlatformError as exc:
+            _log.warning('Promotion order failed: {}', exc)
+            await asyncio.sleep(seconds(_ORDER_PAUSE))
+            return None
+        _log.info(
+            'Ordered promotion of {} for {} with fencing token {}',
+            target,
+            service,
+            token,
+        )
+        return True
+
+    async def _leads(self, cluster: Cluster, target: str) -> bool:
+        """Tell whether an order without an answer was carried out."""
+        member = cluster.members.get(target)
+        if member is not None:
+            await cluster.probe(member)
+        return cluster.lead.leadership.leader == target
+
+    async def _renew_token(self, service: str, target: str, token: int) -> int:
+        """Claim a token for the next order of a promotion.
+
+        An order without an answer may be carried out late, and would promote a
+        second time. A later order with a greater token fences it off.
+
+        :returns: The token; the same if the store does not answer, or if
+            another daemon claims one.
+        """
+        try:
+            claimed = await self.tokens.claim(service, target)
+        except PlatformError as exc:
+            _log.warning('Fencing token for {} not renewed: {}', service, exc)
+            return token
+        if claimed is None:
+            return token
+        self._announce(service, target, claimed)
+        return claimed
+
     def _announce(self, service: str, target: str, token: int) -> None:
         notice = gossip_messages.PromotionOrdered(
             self._name, service, target, token
@@ -390,7 +440,8 @@
             target,
         )
         change = PlannedChange(cluster, leader, successor)
-        if await self._promote(cluster, target, change):
+        replaced = leader.server.server_id
+        if await self._promote(cluster, target, replaced, change):
             await self._wait_until_replaced(cluster, leader)
             return
         if not self._is_promotion_pending(service):
--- a/tests/test_fencing_tokens.py
+++ b/tests/test_fencing_tokens.py
@@ -74,10 +74,23 @@
     assert await daemons[0].claim(_SERVICE, 'db-1') == 1
     # Both claims are conditional on the row's version; a daemon with an old
     # version gets no token.
-    assert await daemons[1].claim(_SERVICE, 'db-2') == 2
+    assert await daemons[1].claim(_SERVICE, 'db-2', 'db-1') == 2
     assert await daemons[0].claim(_SERVICE, 'db-1') is None
 
 
+async def test_first_reading_finds_claim_of_peer(store: _MemoryStore) -> None:
+    """Guards against two promotions for one failure.
+
+    A daemon that hears from nobody misses the leader. The first time that it
+    reads the tokens, another daemon has just claimed one for the same failure.
+    It may claim one when the promotion has had its time.
+    """
+    first, alone = _tokens('front-0', store), _tokens('front-1', store)
+    assert await first.claim(_SERVICE, 'db-1', 'db-0') == 1
+    assert await alone.claim(_SERVICE, 'db-2', 'db-0') is None
+    assert await alone.claim(_SERVICE, 'db-2', 'db-0') == 2
+
+
 async def test_claim_with_lost_answer(store: _MemoryStore) -> None:
     """Guards against a daemon that takes its own claim for a peer's.
 
@@ -129,8 +142,8 @@
     store.restore(copy)
     first = await tokens[1].claim(_SERVICE, 'db-1')
     assert store.copy().revision.version == 1
-    second = await tokens[0].claim(_SERVICE, 'db-2')
-    third = await tokens[2].claim(_SERVICE, 'db-1')
+    second = await tokens[0].claim(_SERVICE, 'db-2', 'db-1')
+    third = await tokens[2].claim(_SERVICE, 'db-1', 'db-2')
     assert first and second and third
     assert first < second < third
 
@@ -148,7 +161,7 @@
     store.restore(empty)
     latest = await _tokens('front-1', store).claim(_SERVICE, 'db-1')
     await store.write(Table.TOKENS, _SERVICE, late, store.copy().revision)
-    found = await _tokens('front-2', store).claim(_SERVICE, 'db-2')
+    found = await _tokens('front-2', store).claim(_SERVICE, 'db-2', 'db-1')
     assert latest and found
     assert found > latest
 
--- a/tests/test_platform_failover.py
+++ b/tests/test_platform_failover.py
@@ -78,7 +78,11 @@
 
 
 async def test_order_lost_and_late(platform_site: SiteStandIn) -> None:
-    """Guards against a delayed order that replaces a newer leader (ONE)."""
+    """Guards against a delayed order that replaces a newer leader (ONE).
+
+    It must not promote a second time either, so the order that follows it has
+    a greater token.
+    """
     caller = await platform_site.caller(PRIMARY_ROUTE)
     assert not (await caller.run('WRITE a 1')).code
     platform_site.platform.faults.lose_orders = 1
@@ -90,7 +94,8 @@
     await asyncio.sleep(3)
     assert platform_site.leader is new
     tokens = [order[3] for order in platform_site.platform.orders]
-    assert tokens == sorted(tokens)
+    assert len(tokens) > 1
+    assert tokens == sorted(set(tokens))
 
 
 async def test_claim_answer_lost(platform_site: SiteStandIn) -> None:
