Announce a promotion with the token of its own order

Cause: since unanswered orders get new tokens, the second announcement named the newest token that the daemon knew, which another daemon may have claimed for another backend server meanwhile (seen when the change was read again).

--- a/monsoonproxy/promotion.py
+++ b/monsoonproxy/promotion.py
@@ -336,19 +336,20 @@
                 target,
             )
             return False
-        if not await self._order_promotion(cluster, target, token):
+        token = await self._order_promotion(cluster, target, token)
+        if token is None:
             return False
-        self._announce(service, target, self.tokens.newest(service))
+        self._announce(service, target, token)
         cluster.lead.leadership.announce_successor(target, self._clock.now())
         cluster.lead.find()
         return await _wait_for_leader(cluster)
 
     async def _order_promotion(
         self, cluster: Cluster, target: str, token: int
-    ) -> bool:
+    ) -> int | None:
         """Order a promotion, again if an order is not answered.
 
-        :returns: Whether it was ordered.
+        :returns: The token of the order, or ``None`` if none was accepted.
         """
         service = cluster.rules.name
         for _ in range(_ORDER_ATTEMPTS):
@@ -359,14 +360,14 @@
                     token,
                     service,
                 )
-                return False
+                return None
             is_ordered = await self._send_order(service, target, token)
             if is_ordered is not None:
-                return is_ordered
+                return token if is_ordered else None
             if await self._leads(cluster, target):
-                return True
+                return token
             token = await self._renew_token(service, target, token)
-        return False
+        return None
 
     async def _send_order(
         self, service: str, target: str, token: int
