Answer the statements that still run when a daemon ends

Callers saw their connection end without an answer, about 5.4 s after SIGTERM, if their statement was at work at a database or waited in the daemon for one (LOST for those that waited).

Cause: at 0.9 of the grace period, the daemon closed all connections, whatever ran on them. Statements of routes with a timeout of more than 2.4 s, which arrive in the first half of it, may be at work then.

Change: before the daemon closes, running statements are cancelled and answered by what is known of them: not run, in doubt, a read that may have run timed out, a transaction rolled back. An attempt that has not sent its statement doesn't send it any more. Reads record when they were sent, as writes do.

--- a/monsoonproxy/client_connections.py
+++ b/monsoonproxy/client_connections.py
@@ -5,7 +5,7 @@
 from typing import Any, Protocol
 
 from monsoonproxy.client_sessions import Session
-from monsoonproxy.clock import Clock, Millis
+from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.dialects import (
     CallerMessage,
     CloseSession,
@@ -50,6 +50,8 @@
 #: leaves little time for a request to arrive between the last read of a
 #: connection and its close.
 _CLOSE_BATCH = 16
+#: Time in ms in which interrupted statements write their answers.
+_ANSWER_TIME = Millis(50)
 
 
 class StatementObserver(Protocol):
@@ -130,6 +132,26 @@
             for connection in connections[start : start + _CLOSE_BATCH]:
                 connection.close_if_idle()
 
+    async def finish(self, reason: str) -> None:
+        """Answer the running statements, and close all idle connections.
+
+        A statement that has not run is refused; of the others, the outcome is
+        unknown.
+
+        :param reason: Human-readable explanation for the callers.
+        """
+        self.stop_reason = reason
+        interrupted = sum(
+            [connection.interrupt() for connection in self.connections]
+        )
+        if interrupted:
+            _log.warning(
+                'Answered {} running statements: {}', interrupted, reason
+            )
+            # The tasks of the statements write their answers.
+            await asyncio.sleep(seconds(_ANSWER_TIME))
+        await self.close_idle()
+
     def end_transactions(self, reason: str) -> None:
         """Roll back all transactions, and run no more statements.
 
@@ -218,6 +240,9 @@
         self._paused = False
         #: Whether a large statement waits until there is memory for it.
         self._is_reserving = False
+        #: Whether a statement is running, and whether it was told to end.
+        self._is_running = False
+        self._is_interrupted = False
         self.handler: SessionHandler | None = None
 
     @property
@@ -250,6 +275,16 @@
         if self.handler is not None and not self.busy:
             self.handler.abort(reason)
 
+    def interrupt(self) -> bool:
+        """Make the running statement end, and be answered, at once.
+
+        :returns: Whether a statement is running.
+        """
+        if self._is_running and self._task is not None:
+            self._is_interrupted = True
+            self._task.cancel()
+        return self._is_running
+
     # Events of the transport.
 
     def connection_made(self, transport: Any) -> None:
@@ -445,13 +480,28 @@
             )
             return
         started = self._listener.clock.now()
-        answer = await self._run(handler, query)
+        answer = await self._run_or_interrupt(handler, query)
         took = Millis(self._listener.clock.now() - started)
         self._listener.observer.statement_ended(handler, query, answer, took)
         self._write(answer)
         if answer.code is Code.UNAUTHORISED:
             self.close()
 
+    async def _run_or_interrupt(
+        self, handler: SessionHandler, query: Query
+    ) -> Answer:
+        self._is_running = True
+        try:
+            return await self._run(handler, query)
+        except asyncio.CancelledError:
+            if self._task is None or not self._is_interrupted:
+                raise
+            self._is_interrupted = False
+            self._task.uncancel()
+            return handler.interrupt(query, self._listener.stop_reason)
+        finally:
+            self._is_running = False
+
     async def _run(self, handler: SessionHandler, query: Query) -> Answer:
         listener = self._listener
         if listener.stop_reason and handler.transaction is None:
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -47,6 +47,8 @@
 _CLOSE_SHARE = 0.35
 _TRANSACTIONS_SHARE = 0.5
 _END_SHARE = 0.9
+#: What callers are told whose statements are not run while the daemon stops.
+_STOP_REASON = 'the daemon is stopping'
 #: Time in ms between two checks whether callers are still connected.
 _DRAIN_POLL_INTERVAL = 50
 #: Time in ms after the start during which connections are not planned, and so
@@ -371,12 +373,12 @@
         until = began + grace * _TRANSACTIONS_SHARE
         while self._clients.connections and clock.now() < until:
             await asyncio.sleep(seconds(_DRAIN_POLL_INTERVAL))
-        self._clients.end_transactions('the daemon is stopping')
+        self._clients.end_transactions(_STOP_REASON)
         until = began + grace * _END_SHARE
         while self._clients.connections and clock.now() < until:
-            await self._clients.close_idle()
             await asyncio.sleep(seconds(_DRAIN_POLL_INTERVAL))
         await wait_idle(self._relay, until - clock.now())
+        await self._clients.finish(_STOP_REASON)
 
     async def _sweep(self) -> None:
         while True:
--- a/monsoonproxy/read_execution.py
+++ b/monsoonproxy/read_execution.py
@@ -282,6 +282,7 @@
                 payload = cluster.dialect.query(
                     stmt.request_id, stmt.text, floor
                 )
+                stmt.sent = True
                 answers = await cluster.exchange(
                     lease, payload, 1, self._time_left + LATE_ANSWER_MS
                 )
@@ -331,6 +332,7 @@
         dialect = cluster.dialect
         payload = dialect.query(stmt.request_id, stmt.text)
         payload += dialect.query(INTERNAL_ID, dialect.rollback())
+        stmt.sent = True
         answer, ended = await cluster.exchange(
             lease, payload, 2, self._time_left + LATE_ANSWER_MS
         )
--- a/monsoonproxy/session_handlers.py
+++ b/monsoonproxy/session_handlers.py
@@ -141,6 +141,36 @@
         self.stmt = None
         return self._fail(Code.BUSY, reason)
 
+    def interrupt(self, query: Query, reason: str) -> Answer:
+        """Answer a statement whose execution was cancelled.
+
+        An open transaction is rolled back. An attempt that has not sent the
+        statement yet must not send it any more.
+
+        :param query: The statement.
+        :param reason: Human-readable explanation for the caller.
+        :returns: The answer.
+        """
+        transaction = self.transaction
+        if transaction is None:
+            return self._interrupt_single(reason)
+        if query.verb is not Verb.COMMIT:
+            self.abort('')
+            return self._fail(Code.ABORTED, reason)
+        self.end()
+        code = Code.IN_DOUBT if transaction.has_written else Code.ABORTED
+        return self._fail(code, reason)
+
+    def _interrupt_single(self, reason: str) -> Answer:
+        stmt = self.stmt
+        if stmt is None:
+            return self.refuse(reason)
+        stmt.abandoned = True
+        if not stmt.sent:
+            return self._fail(Code.BUSY, reason)
+        code = Code.TIMEOUT if stmt.is_read else Code.IN_DOUBT
+        return self._fail(code, reason)
+
     def end(self) -> None:
         """Roll back the open transaction, if there is one."""
         transaction, self.transaction = self.transaction, None
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,91 @@
+"""Tests of what callers see while a daemon stops, through complete daemons.
+
+The daemons stop within 3 s: they close idle connections after 1.05 s, end
+transactions after 1.5 s, and end after 2.7 s.
+"""
+
+import asyncio
+
+from stand_ins.site import PRIMARY_ROUTE, SESSION_ROUTE, SiteStandIn
+
+from tests.fixtures import load_functions
+from tests.platform_sites import statement_runs
+
+load_tests = load_functions(__name__)
+
+#: Time in s that a statement takes which outlives the daemon.
+_LONG_WORK = 5
+#: Statements that don't all find room at the databases.
+_CROWD = 40
+
+
+async def test_shutdown_answers_running_statements(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against statements without an answer when a daemon ends (LOST).
+
+    The databases are still at work when the time until SIGKILL is over.
+    """
+    callers = [await platform_site.caller(SESSION_ROUTE) for _ in range(4)]
+    reader, writer, busy, committer = callers
+    current = await platform_site.caller(PRIMARY_ROUTE, 1)
+    await busy.run('BEGIN')
+    await committer.run('BEGIN')
+    assert not (await committer.run('WRITE a 1')).code
+    nodes = platform_site.nodes[:2]
+    stopping = [asyncio.create_task(node.stop()) for node in nodes]
+    await asyncio.sleep(0.3)
+    _slow_down(platform_site)
+    writing = asyncio.create_task(writer.run('WRITE b 1'))
+    # The others must not take the room that the write needs.
+    await asyncio.sleep(0.1)
+    replies = await asyncio.gather(
+        writing,
+        reader.run('READ a'),
+        current.run('READ a'),
+        busy.run('READ a'),
+        committer.run('COMMIT'),
+    )
+    assert [(reply.code, reply.state) for reply in replies] == [
+        ('INDOUBT', b'I'),
+        ('TIMEOUT', b'I'),
+        ('TIMEOUT', b'I'),
+        ('ABORTED', b'E'),
+        ('INDOUBT', b'I'),
+    ]
+    await asyncio.gather(*stopping)
+
+
+async def test_shutdown_refuses_waiting_statements(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against statements that wait in a daemon that ends (LOST).
+
+    More writes than the leader has room for wait until the end; those that are
+    refused as not run must not run.
+    """
+    callers = [await platform_site.caller(SESSION_ROUTE) for _ in range(_CROWD)]
+    stopping = asyncio.create_task(platform_site.nodes[0].stop())
+    await asyncio.sleep(0.3)
+    _slow_down(platform_site)
+    names = [f'write-{number}' for number in range(_CROWD)]
+    replies = await asyncio.gather(
+        *(
+            caller.run('WRITE a 1', name)
+            for caller, name in zip(callers, names, strict=True)
+        )
+    )
+    await stopping
+    codes = dict(zip(names, [reply.code for reply in replies], strict=True))
+    assert set(codes.values()) == {'BUSY', 'INDOUBT'}
+    for database in platform_site.databases:
+        database.faults.work = 0
+    await asyncio.sleep(_LONG_WORK)
+    for name, code in codes.items():
+        if code == 'BUSY':
+            assert not statement_runs(platform_site, name)
+
+
+def _slow_down(site: SiteStandIn) -> None:
+    for database in site.databases:
+        database.faults.work = _LONG_WORK
