Let callers go on until they are refused while a daemon stops

None of them was run by a database.

Cause: from 0.35 of the grace period, a connection was closed as soon as its answer was written, and a new session right after it was told that it is ready. Callers that go on at once had sent their next statement by then; the kernel answered it with a reset.

Change: a connection is closed once its caller was quiet for 0.1 s. Sessions that open until transactions are ended are served, later ones are refused as not run.

--- a/monsoonproxy/client_connections.py
+++ b/monsoonproxy/client_connections.py
@@ -50,8 +50,13 @@
 #: leaves little time for a request to arrive between the last read of a
 #: connection and its close.
 _CLOSE_BATCH = 16
-#: Time in ms in which interrupted statements write their answers.
-_ANSWER_TIME = Millis(50)
+#: Time in ms after a statement for which a connection is not closed as idle. A
+#: caller that goes on at once sends its next statement within a round trip. One
+#: that goes on for that long after it was refused gets no more refusals, since
+#: many such callers would take the daemon's time.
+_QUIET_TIME = Millis(100)
+#: Time in ms between two looks for idle connections to close.
+_CLOSE_INTERVAL = Millis(50)
 
 
 class StatementObserver(Protocol):
@@ -104,6 +109,7 @@
         self.budget = ByteBudget(max_bytes)
         self.reservations = Reservations(int(max_bytes * _LARGE_SHARE))
         self._server: asyncio.Server | None = None
+        self._closer: asyncio.Task[None] | None = None
 
     async def start(self, address: str) -> None:
         """Start to accept connections.
@@ -119,18 +125,14 @@
     async def close_idle(self) -> None:
         """Close the connections without a request or transaction.
 
-        The others are closed when they become idle. Closing a socket with
-        unread bytes resets the connection, and the caller would not know
-        whether its request ran. So what has arrived is read just before.
+        The others are closed once they have been idle for a moment, since a
+        caller may send its next statement as soon as it has an answer.
         """
         self.closing = True
-        connections = tuple(self.connections)
-        for start in range(0, len(connections), _CLOSE_BATCH):
-            # The event loop reads what has arrived before this resumes.
-            await asyncio.sleep(0)
-            await asyncio.sleep(0)
-            for connection in connections[start : start + _CLOSE_BATCH]:
-                connection.close_if_idle()
+        await self._close_idle(_QUIET_TIME)
+        if self._closer is None:
+            loop = asyncio.get_running_loop()
+            self._closer = loop.create_task(self._keep_closing())
 
     async def finish(self, reason: str) -> None:
         """Answer the running statements, and close all idle connections.
@@ -149,8 +151,8 @@
                 'Answered {} running statements: {}', interrupted, reason
             )
             # The tasks of the statements write their answers.
-            await asyncio.sleep(seconds(_ANSWER_TIME))
-        await self.close_idle()
+            await asyncio.sleep(seconds(_CLOSE_INTERVAL))
+        await self._close_idle(Millis(0))
 
     def end_transactions(self, reason: str) -> None:
         """Roll back all transactions, and run no more statements.
@@ -207,6 +209,8 @@
         """Stop accepting and close all connections."""
         if self._server is not None:
             self._server.close()
+        if self._closer is not None:
+            self._closer.cancel()
         for connection in tuple(self.connections):
             connection.close()
 
@@ -215,6 +219,30 @@
         """Return the number of connections with a request or transaction."""
         return sum(not connection.is_idle for connection in self.connections)
 
+    async def _keep_closing(self) -> None:
+        while True:
+            await asyncio.sleep(seconds(_CLOSE_INTERVAL))
+            await self._close_idle(_QUIET_TIME)
+
+    async def _close_idle(self, quiet: Millis) -> None:
+        """Close the connections that have been idle for some time.
+
+        Closing a socket with unread bytes resets the connection, and the caller
+        would not know whether its request ran. So what has arrived is read just
+        before.
+
+        :param quiet: The time in ms.
+        """
+        since = Millis(self.clock.now() - quiet)
+        idle = [each for each in self.connections if each.may_close(since)]
+        for start in range(0, len(idle), _CLOSE_BATCH):
+            # The event loop reads what has arrived before this resumes.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            for connection in idle[start : start + _CLOSE_BATCH]:
+                if connection.may_close(since):
+                    connection.close()
+
 
 class ClientConnection(asyncio.Protocol):
     """The connection of one caller.
@@ -230,6 +258,10 @@
         self._reader = listener.dialect.caller_reader()
         self.account = listener.budget.open()
         self._since = listener.clock.now()
+        #: When the latest message was handled, or the connection was made.
+        self._used_at = self._since
+        #: When a statement was first refused since the daemon stops.
+        self._refused_at: Millis | None = None
         #: Since when a message is incomplete, and an answer is not read.
         self._incomplete_since: Millis | None = None
         self._unread_since: Millis | None = None
@@ -252,15 +284,21 @@
 
     @property
     def is_idle(self) -> bool:
-        """Tell whether there is neither a request nor a transaction."""
+        """Tell whether there is neither part of a request nor a transaction."""
         handler = self.handler
         in_transaction = handler and handler.transaction is not None
-        return not (self.busy or self._reader.has_message or in_transaction)
+        return not (self.busy or self._reader.buffered or in_transaction)
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless a request or transaction is open."""
-        if self.is_idle:
-            self.close()
+    def may_close(self, quiet_since: Millis) -> bool:
+        """Tell whether it is idle, and its caller is not likely to go on.
+
+        :param quiet_since: Time at which the caller must have been quiet or
+            have known that the daemon refuses its statements.
+        """
+        left_at = self._used_at
+        if self._refused_at is not None:
+            left_at = self._refused_at
+        return left_at <= quiet_since and self.is_idle
 
     def close(self) -> None:
         """Close the connection once the written answers are sent."""
@@ -415,6 +453,7 @@
         self._listener.budget.set(self.account, reader.buffered)
         has_rest = reader.buffered > 0 and not reader.has_message
         now = self._listener.clock.now()
+        self._used_at = now
         self._incomplete_since = now if has_rest else None
 
     def _pause_reading(self) -> None:
@@ -431,8 +470,10 @@
         if self._paused:
             self._paused = False
             self._transport.resume_reading()
-        if self._listener.closing:
-            self.close_if_idle()
+        if self._refused_at is not None:
+            quiet_since = Millis(self._listener.clock.now() - _QUIET_TIME)
+            if self.may_close(quiet_since):
+                self.close()
 
     async def _handle(self, message: CallerMessage) -> None:
         if isinstance(message, Query):
@@ -448,6 +489,9 @@
     def _open(self, message: OpenSession) -> None:
         listener = self._listener
         table = listener.services.table
+        if listener.stop_reason:
+            self._refuse(Code.BUSY, listener.stop_reason)
+            return
         if table is None:
             self._refuse(
                 Code.BUSY, 'the daemon has not received its configuration yet'
@@ -505,6 +549,7 @@
     async def _run(self, handler: SessionHandler, query: Query) -> Answer:
         listener = self._listener
         if listener.stop_reason and handler.transaction is None:
+            self._refused_at = self._refused_at or listener.clock.now()
             return handler.refuse(listener.stop_reason)
         answer = await self._run_reserved(handler, query)
         if listener.stop_reason and handler.state is TransactionState.OPEN:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -5,8 +5,15 @@
 """
 
 import asyncio
+import itertools
 
-from stand_ins.site import PRIMARY_ROUTE, SESSION_ROUTE, SiteStandIn
+from stand_ins.site import (
+    BOUNDED_ROUTE,
+    PRIMARY_ROUTE,
+    SESSION_ROUTE,
+    Caller,
+    SiteStandIn,
+)
 
 from tests.fixtures import load_functions
 from tests.platform_sites import statement_runs
@@ -86,6 +93,54 @@
             assert not statement_runs(platform_site, name)
 
 
+async def test_shutdown_answers_statements_without_pause(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against connections that close when a statement has been sent.
+
+    Callers send the next statement as soon as one was answered, until one is
+    refused. The daemon must not close a connection between the two.
+    """
+    callers = [await platform_site.caller(SESSION_ROUTE) for _ in range(20)]
+    running = [asyncio.create_task(_run_until_refused(c)) for c in callers]
+    await platform_site.nodes[0].stop()
+    await asyncio.gather(*running)
+    assert all([await caller.closed() for caller in callers])
+
+
+async def test_shutdown_answers_late_sessions(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against sessions that open while a daemon stops and get no answer.
+
+    Load balancers send new callers to a daemon that stops if few others are
+    left. Their first statement is run, or their session is refused.
+    """
+    held = await platform_site.caller(BOUNDED_ROUTE)
+    await held.run('BEGIN READ')
+    stopping = asyncio.create_task(platform_site.nodes[0].stop())
+    await asyncio.sleep(1.2)
+    early = await platform_site.caller(BOUNDED_ROUTE)
+    assert not (await early.run('READ a')).code
+    _slow_down(platform_site)
+    running = asyncio.create_task(held.run('READ a'))
+    await asyncio.sleep(0.6)
+    late = Caller(platform_site.addresses[0])
+    assert (await late.open(BOUNDED_ROUTE)).startswith(b'ERROR BUSY')
+    assert await late.closed()
+    assert await early.closed()
+    assert (await running).code == 'ABORTED'
+    await stopping
+
+
 def _slow_down(site: SiteStandIn) -> None:
     for database in site.databases:
         database.faults.work = _LONG_WORK
+
+
+async def _run_until_refused(caller: Caller) -> None:
+    """Run transactions and single reads, all of which must be answered."""
+    for text in itertools.cycle(('READ a', 'BEGIN', 'READ a', 'COMMIT')):
+        if (await caller.run(text)).code:
+            await caller.run('ROLLBACK')
+            return
