Ignore odd entries of backend servers, also deeply nested ones

Here, an entry with 1,000 levels of nesting or more ended the task that follows the databases: its decoder raises RecursionError, which no handler expected. The supervisor started it again, it read the whole table and failed again. All daemons missed what was added, left or led since; the processes went on.

Ruled out: broken JSON and UTF-8, numbers over 4,300 digits and wrong types, which were refused before.

--- a/monsoonproxy/configuration.py
+++ b/monsoonproxy/configuration.py
@@ -126,7 +126,7 @@
     """
     try:
         body = json.loads(document)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise ConfigurationError(
             f'the configuration document is not JSON: {exc}'
         ) from exc
--- a/monsoonproxy/fencing_tokens.py
+++ b/monsoonproxy/fencing_tokens.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from monsoonproxy.clock import Millis
+from monsoonproxy.decoding import DECODE_ERRORS
 from monsoonproxy.exceptions import PlatformError, StoreRestoredError
 from monsoonproxy.logs import log_for
 from monsoonproxy.stores import Revision, Store, StoreRow, Table
@@ -222,7 +223,7 @@
         state = self._state(service)
         try:
             found = msgspec.json.decode(row.content or b'{}', type=_Entry)
-        except msgspec.MsgspecError as exc:
+        except DECODE_ERRORS as exc:
             _log.error('Fencing token row of {} is malformed: {}', service, exc)
             found = _Entry()
         state.revision = row.revision
--- a/monsoonproxy/gossip_messages.py
+++ b/monsoonproxy/gossip_messages.py
@@ -5,15 +5,13 @@
 releases know them. Any message may be lost, duplicated or late.
 """
 
-import ipaddress
 from typing import TypeAlias
 
 import msgspec
 
+from monsoonproxy.decoding import DECODE_ERRORS, is_address
 from monsoonproxy.stores import Revision
 
-_LAST_PORT = 65_535
-
 
 class _GossipMessage(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Base of all gossip messages.
@@ -187,7 +185,7 @@
     """
     try:
         message = _decoder.decode(datagram)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
     if isinstance(message, Presence):
         return message if _is_reachable(message) else None
@@ -206,7 +204,7 @@
     """
     try:
         listing = _listing_decoder.decode(content)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
     return listing if _is_reachable(listing) else None
 
@@ -217,13 +215,4 @@
     A malformed address would raise in each task that sends to all peers, and
     end the task.
     """
-    return _is_address(listing.address) and _is_address(listing.relay)
-
-
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(':')
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        return False
-    return port.isdecimal() and 0 < int(port) <= _LAST_PORT
+    return is_address(listing.address) and is_address(listing.relay)
--- a/monsoonproxy/peers.py
+++ b/monsoonproxy/peers.py
@@ -11,13 +11,13 @@
 from typing import TypeAlias
 
 import attrs
-import msgspec
 import zmq
 from zmq.asyncio import Context, Socket
 from zmq.auth.asyncio import AsyncioAuthenticator
 from zmq.utils.monitor import parse_monitor_message
 
 from monsoonproxy import messages
+from monsoonproxy.decoding import DECODE_ERRORS
 from monsoonproxy.exceptions import PeerError
 from monsoonproxy.logs import log_for
 
@@ -126,7 +126,7 @@
                 continue
             try:
                 message = messages.decode(frame)
-            except msgspec.MsgspecError as exc:
+            except DECODE_ERRORS as exc:
                 _log.warning(
                     'Dropped a malformed request from peer {!r}: {}',
                     identity,
@@ -274,7 +274,7 @@
             frame = await self._socket.recv()
             try:
                 message = messages.decode(frame)
-            except msgspec.MsgspecError as exc:
+            except DECODE_ERRORS as exc:
                 _log.warning(
                     'Dropped a malformed reply from peer {}: {}',
                     self.address,
--- a/monsoonproxy/platforms.py
+++ b/monsoonproxy/platforms.py
@@ -18,6 +18,9 @@
 _PRECONDITION_FAILED = 412
 _DEFAULT_TIMEOUT = Millis(1000)
 
+#: Errors of decoding a malformed list; deep nesting raises the last one.
+_MALFORMED = (ValueError, KeyError, TypeError, RecursionError)
+
 
 @attrs.frozen
 class _Reply:
@@ -107,7 +110,7 @@
         _raise_for_status(reply)
         try:
             return [_parse_host(entry) for entry in json.loads(reply.body)]
-        except (ValueError, KeyError, TypeError) as exc:
+        except _MALFORMED as exc:
             raise PlatformError(f'malformed host list: {exc}') from exc
 
     async def close(self) -> None:
--- a/monsoonproxy/relay_messages.py
+++ b/monsoonproxy/relay_messages.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from monsoonproxy.decoding import DECODE_ERRORS
 from monsoonproxy.exceptions import PeerError
 
 _LENGTH_BYTES = 4
@@ -206,5 +207,5 @@
 def _decode(body: bytes) -> Request | Response:
     try:
         return _decoder.decode(body)
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         raise PeerError(f'malformed message: {exc}') from exc
--- a/monsoonproxy/snapshots.py
+++ b/monsoonproxy/snapshots.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from monsoonproxy.clock import Millis, seconds
+from monsoonproxy.decoding import DECODE_ERRORS
 from monsoonproxy.exceptions import PeerError
 from monsoonproxy.stores import Revision
 
@@ -22,6 +23,8 @@
 #: Maximum size in bytes of a decompressed document, and of one read.
 _MAX_BYTES = 8 * 1024 * 1024
 #: Size in bytes of the length in front of a request.
+#: Errors while a snapshot is fetched and decoded.
+_FETCH_ERRORS = (OSError, TimeoutError, *DECODE_ERRORS)
 _LENGTH_BYTES = 4
 #: Connections that are answered at once, and greatest size of a request: this
 #: port can be reached by others than daemons.
@@ -122,7 +125,7 @@
         return msgspec.msgpack.decode(
             decompress(compressed), type=dict[str, bytes]
         )
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         raise PeerError(f'malformed entries of backend servers: {exc}') from exc
 
 
@@ -183,7 +186,7 @@
         body = self._received[_LENGTH_BYTES:]
         if len(self._received) < _LENGTH_BYTES or len(body) < size:
             return
-        with contextlib.suppress(msgspec.MsgspecError):
+        with contextlib.suppress(*DECODE_ERRORS):
             request = msgspec.msgpack.decode(body, type=SnapshotRequest)
             snapshot = self._snapshots.newer_than(request)
             self._transport.write(msgspec.msgpack.encode(snapshot))
@@ -206,7 +209,7 @@
         async with asyncio.timeout(seconds(_TIMEOUT)):
             answer = await _call(address, request)
         snapshot = msgspec.msgpack.decode(answer, type=Snapshot)
-    except (OSError, TimeoutError, msgspec.MsgspecError) as exc:
+    except _FETCH_ERRORS as exc:
         raise PeerError(f'{address}: {exc!r}') from exc
     snapshots.apply(snapshot)
 
