Keep room in the log for the lines of a stop

So the records could not show whether SIGKILL had cut off requests.

Cause: all lines below warnings share one rate limit, and one line for each refused statement used it up.

Change: lines of components that log requests leave a quarter of the burst, as before; those of the other components may use it, like warnings.

--- a/monsoonproxy/logs.py
+++ b/monsoonproxy/logs.py
@@ -25,6 +25,11 @@
 #: Limit of buffered bytes while the reader of the output is too slow.
 _MAX_PENDING_BYTES = 256 * 1024
 _WARNING_LEVEL = 30
+#: Share of the burst that is reserved for warnings, errors and the lines of
+#: components that don't log each request. Otherwise, refused statements would
+#: crowd out the lines of a start, a stop or a lost dependency.
+_RESERVE = 0.25
+_REQUEST_PARTS = frozenset(('statement', 'read', 'handover', 'client', 'relay'))
 
 
 def configure(*, level: str = 'INFO', structured: bool = False) -> None:
@@ -98,7 +103,10 @@
 
         :param message: A formatted message of ``loguru``.
         """
-        if not self._has_credit(message.record['level'].no):
+        record = message.record
+        is_warning = record['level'].no >= _WARNING_LEVEL
+        is_request = record['extra'].get('part') in _REQUEST_PARTS
+        if not self._has_credit(uses_reserve=is_warning or not is_request):
             self.dropped += 1
             return
         line = message.encode()
@@ -113,13 +121,12 @@
         self._pending += line
         self._flush()
 
-    def _has_credit(self, level: int) -> bool:
+    def _has_credit(self, *, uses_reserve: bool) -> bool:
         now = self._clock.now()
         earned = (now - self._credit_updated_at) * _MAX_LINES_PER_S / 1000
         self._credit_updated_at = now
         self._credit = min(_BURST_LINES, self._credit + earned)
-        # A quarter of the burst is reserved for warnings and errors.
-        required = 1 if level >= _WARNING_LEVEL else _BURST_LINES / 4
+        required = 1 if uses_reserve else _BURST_LINES * _RESERVE
         if self._credit < required:
             return False
         self._credit -= 1
--- a/tests/test_logs_and_metrics.py
+++ b/tests/test_logs_and_metrics.py
@@ -3,6 +3,7 @@
 import json
 import os
 from collections.abc import Iterator
+from typing import Any
 
 import attrs
 
@@ -41,7 +42,7 @@
     """A formatted message as ``loguru`` passes it to a sink."""
 
     text: str
-    record: dict[str, _Level]
+    record: dict[str, Any]
 
     def encode(self) -> bytes:
         return self.text.encode()
@@ -53,8 +54,11 @@
     output: RateLimitedOutput
     clock: _Clock
 
-    def write(self, text: str, level: int = _INFO) -> None:
-        self.output(_Message(f'{text}\n', {'level': _Level(level)}))
+    def write(
+        self, text: str, level: int = _INFO, part: str = 'statement'
+    ) -> None:
+        record = {'level': _Level(level), 'extra': {'part': part}}
+        self.output(_Message(f'{text}\n', record))
 
     def lines(self) -> list[str]:
         return os.read(self.reader, 1 << 20).decode().splitlines()
@@ -78,6 +82,14 @@
     assert pipe.output.dropped > 0
 
 
+def test_flood_of_requests_hides_no_stop(pipe: _Pipe) -> None:
+    """Guards against refused statements that crowd out the lines of a stop."""
+    for _ in range(_FLOOD_LINES):
+        pipe.write('statement failed')
+    pipe.write('stopped', part='node')
+    assert pipe.lines()[-1] == 'stopped'
+
+
 def test_dropped_lines_are_reported(pipe: _Pipe) -> None:
     """Guards against dropped log lines that are not reported."""
     for number in range(_FLOOD_LINES):
