--- a/monsoonproxy/client_connections.py
+++ b/monsoonproxy/client_connections.py
@@ -1,27 +1,24 @@
-"""Accepts callers' connections and serves the sessions on them."""
+"""Serves the sessions on callers' connections."""
 
 import asyncio
 import itertools
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any
 
 from monsoonproxy.client_sessions import Session
-from monsoonproxy.clock import Clock, Millis, seconds
+from monsoonproxy.clock import Millis
 from monsoonproxy.dialects import (
     CallerMessage,
     CloseSession,
-    Dialect,
     MalformedMessage,
     OpenSession,
 )
 from monsoonproxy.logs import log_for
-from monsoonproxy.overload.byte_budgets import ByteBudget, Reservations
 from monsoonproxy.queries import Answer, Code, Query, TransactionState
 from monsoonproxy.server_connections import configure_keepalive
-from monsoonproxy.session_handlers import (
-    OperationLimits,
-    ServiceLookup,
-    SessionHandler,
-)
+from monsoonproxy.session_handlers import SessionHandler
+
+if TYPE_CHECKING:
+    from monsoonproxy.client_listeners import ClientListener
 
 _log = log_for('client')
 
@@ -30,7 +27,7 @@
 _MAX_WAITING_BYTES = 64 * 1024
 #: Bytes of a statement from which it needs a reservation while it is in work,
 #: and how often it is counted for the copies that are made on its way.
-_LARGE_STATEMENT = 16 * 1024
+LARGE_STATEMENT = 16 * 1024
 _COPIES = 4
 #: The same while it waits for that: its text, and its argument.
 _PARSED_COPIES = 2
@@ -38,210 +35,17 @@
 _MESSAGES_PER_TURN = 16
 #: Longest wait in ms for that reservation.
 _RESERVATION_LIMIT = Millis(2_000)
-#: Share of the budget that large statements in work may take.
-_LARGE_SHARE = 0.25
 #: Times in ms that a caller has to open a session, to send the rest of a
 #: message, and to read its answers. A message of 1 MiB takes 2 s on the slowest
 #: links of hosts, 5 Mbit/s.
 _OPEN_LIMIT = Millis(5_000)
 _MESSAGE_LIMIT = Millis(10_000)
 _READ_LIMIT = Millis(10_000)
-#: Idle connections closed without yielding to the event loop. A small batch
-#: leaves little time for a request to arrive between the last read of a
-#: connection and its close.
-_CLOSE_BATCH = 16
 #: Time in ms after a statement for which a connection is not closed as idle. A
 #: caller that goes on at once sends its next statement within a round trip. One
 #: that goes on for that long after it was refused gets no more refusals, since
 #: many such callers would take the daemon's time.
-_QUIET_TIME = Millis(100)
-#: Time in ms between two looks for idle connections to close.
-_CLOSE_INTERVAL = Millis(50)
-
-
-class StatementObserver(Protocol):
-    """Is notified when a statement of a caller has ended."""
-
-    def statement_ended(
-        self,
-        handler: SessionHandler,
-        query: Query,
-        answer: Answer,
-        took: Millis,
-    ) -> None:
-        """Record the answer to a statement and the time that it took."""
-
-
-class ClientListener:
-    """Listens for callers and holds their connections.
-
-    :param services: The daemon's routes and services.
-    :param limits: Limits the operations of organisations.
-    :param dialect: The protocol spoken with callers.
-    :param clock: Source of time.
-    :param observer: Is notified when statements end.
-    :param max_connections: Limit of open connections; further ones are refused.
-    :param max_bytes: Limit of the bytes of callers' messages; callers with most
-        are closed beyond it.
-    """
-
-    def __init__(
-        self,
-        services: ServiceLookup,
-        limits: OperationLimits,
-        dialect: Dialect,
-        clock: Clock,
-        observer: StatementObserver,
-        max_connections: int,
-        max_bytes: int,
-    ) -> None:
-        self.services = services
-        self.limits = limits
-        self.dialect = dialect
-        self.clock = clock
-        self.observer = observer
-        self.session_numbers = itertools.count(1)
-        self.connections: set[ClientConnection] = set()
-        self.closing = False
-        #: Why no more statements are run; empty while they are.
-        self.stop_reason = ''
-        self.max_connections = max_connections
-        self.budget = ByteBudget(max_bytes)
-        self.reservations = Reservations(int(max_bytes * _LARGE_SHARE))
-        self._server: asyncio.Server | None = None
-        self._closer: asyncio.Task[None] | None = None
-
-    async def start(self, address: str) -> None:
-        """Start to accept connections.
-
-        :param address: ``ip:port`` to listen on.
-        """
-        host, port = address.rsplit(':', 1)
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: ClientConnection(self), host, int(port), backlog=512
-        )
-
-    async def close_idle(self) -> None:
-        """Close the connections without a request or transaction.
-
-        The others are closed once they have been idle for a moment, since a
-        caller may send its next statement as soon as it has an answer.
-        """
-        self.closing = True
-        await self._close_idle(_QUIET_TIME)
-        if self._closer is None:
-            loop = asyncio.get_running_loop()
-            self._closer = loop.create_task(self._keep_closing())
-
-    async def finish(self, reason: str) -> None:
-        """Answer the running statements, and close all idle connections.
-
-        A statement that has not run is refused; of the others, the outcome is
-        unknown.
-
-        :param reason: Human-readable explanation for the callers.
-        """
-        self.stop_reason = reason
-        interrupted = sum(
-            [connection.interrupt() for connection in self.connections]
-        )
-        if interrupted:
-            _log.warning(
-                'Answered {} running statements: {}', interrupted, reason
-            )
-            # The tasks of the statements write their answers.
-            await asyncio.sleep(seconds(_CLOSE_INTERVAL))
-        await self._close_idle(Millis(0))
-
-    def end_transactions(self, reason: str) -> None:
-        """Roll back all transactions, and run no more statements.
-
-        Running statements are answered first. A caller is told when it sends
-        its next statement.
-
-        :param reason: Human-readable explanation for the callers.
-        """
-        self.stop_reason = reason
-        for connection in tuple(self.connections):
-            connection.end_transaction(reason)
-
-    def end_idle_transactions(self, limit: Millis) -> int:
-        """Roll back transactions that have been idle for too long.
-
-        :param limit: Longest time in ms between two statements.
-        :returns: Number of transactions that were rolled back.
-        """
-        idle_since = self.clock.now() - limit
-        rolled_back = 0
-        for connection in self.connections:
-            handler = connection.handler
-            transaction = handler and handler.transaction
-            if transaction and not transaction.failed:
-                if (
-                    transaction.last_used_at < idle_since
-                    and not connection.busy
-                ):
-                    connection.end_transaction(
-                        f'no statement in the transaction for {limit} ms'
-                    )
-                    rolled_back += 1
-        return rolled_back
-
-    def shed(self) -> None:
-        """Close the callers with most bytes until the budget holds."""
-        if not self.budget.is_exceeded:
-            return
-        chosen = self.budget.shed(_LARGE_STATEMENT)
-        for connection in tuple(self.connections):
-            if connection.account in chosen:
-                connection.shed('too many bytes of all callers')
-
-    def end_slow(self) -> None:
-        """Close the callers that have taken too long."""
-        now = self.clock.now()
-        for connection in tuple(self.connections):
-            reason = connection.overdue(now)
-            if reason:
-                connection.shed(reason)
-
-    def stop(self) -> None:
-        """Stop accepting and close all connections."""
-        if self._server is not None:
-            self._server.close()
-        if self._closer is not None:
-            self._closer.cancel()
-        for connection in tuple(self.connections):
-            connection.close()
-
-    @property
-    def busy(self) -> int:
-        """Return the number of connections with a request or transaction."""
-        return sum(not connection.is_idle for connection in self.connections)
-
-    async def _keep_closing(self) -> None:
-        while True:
-            await asyncio.sleep(seconds(_CLOSE_INTERVAL))
-            await self._close_idle(_QUIET_TIME)
-
-    async def _close_idle(self, quiet: Millis) -> None:
-        """Close the connections that have been idle for some time.
-
-        Closing a socket with unread bytes resets the connection, and the caller
-        would not know whether its request ran. So what has arrived is read just
-        before.
-
-        :param quiet: The time in ms.
-        """
-        since = Millis(self.clock.now() - quiet)
-        idle = [each for each in self.connections if each.may_close(since)]
-        for start in range(0, len(idle), _CLOSE_BATCH):
-            # The event loop reads what has arrived before this resumes.
-            await asyncio.sleep(0)
-            await asyncio.sleep(0)
-            for connection in idle[start : start + _CLOSE_BATCH]:
-                if connection.may_close(since):
-                    connection.close()
+QUIET_TIME = Millis(100)
 
 
 class ClientConnection(asyncio.Protocol):
@@ -253,7 +57,7 @@
     :param listener: The listener that accepted the connection.
     """
 
-    def __init__(self, listener: ClientListener) -> None:
+    def __init__(self, listener: 'ClientListener') -> None:
         self._listener = listener
         self._reader = listener.dialect.caller_reader()
         self.account = listener.budget.open()
@@ -436,7 +240,7 @@
             if message is None or self._closed:
                 return
             size = buffered - reader.buffered
-            if size >= _LARGE_STATEMENT:
+            if size >= LARGE_STATEMENT:
                 held = reader.buffered + size * _PARSED_COPIES
                 budget.set(self.account, held)
                 self._listener.shed()
@@ -471,7 +275,7 @@
             self._paused = False
             self._transport.resume_reading()
         if self._refused_at is not None:
-            quiet_since = Millis(self._listener.clock.now() - _QUIET_TIME)
+            quiet_since = Millis(self._listener.clock.now() - QUIET_TIME)
             if self.may_close(quiet_since):
                 self.close()
 
@@ -561,7 +365,7 @@
     ) -> Answer:
         """Run a statement; a large one once there is memory for its copies."""
         size = len(query.text) * _COPIES
-        if len(query.text) < _LARGE_STATEMENT:
+        if len(query.text) < LARGE_STATEMENT:
             return await handler.run(query)
         reservations = self._listener.reservations
         self._is_reserving = True
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from monsoonproxy.catalog import Catalog
-from monsoonproxy.client_connections import ClientListener
+from monsoonproxy.client_listeners import ClientListener
 from monsoonproxy.clock import Clock, Millis, seconds
 from monsoonproxy.delegation import Delegation
 from monsoonproxy.dialects import Dialect
