Remove an attribute that nothing reads any more

Cause: the listener kept `closing`, which its connections no longer ask, and two methods differed by an underscore only (seen when the diff was read again).

Behaviour is the same.

--- a/monsoonproxy/client_listeners.py
+++ b/monsoonproxy/client_listeners.py
@@ -75,7 +75,6 @@
         self.observer = observer
         self.session_numbers = itertools.count(1)
         self.connections: set[ClientConnection] = set()
-        self.closing = False
         #: Why no more statements are run; empty while they are.
         self.stop_reason = ''
         self.max_connections = max_connections
@@ -101,8 +100,7 @@
         The others are closed once they have been idle for a moment, since a
         caller may send its next statement as soon as it has an answer.
         """
-        self.closing = True
-        await self._close_idle(QUIET_TIME)
+        await self._close_quiet(QUIET_TIME)
         if self._closer is None:
             loop = asyncio.get_running_loop()
             self._closer = loop.create_task(self._keep_closing())
@@ -125,7 +123,7 @@
             )
             # The tasks of the statements write their answers.
             await asyncio.sleep(seconds(_CLOSE_INTERVAL))
-        await self._close_idle(Millis(0))
+        await self._close_quiet(Millis(0))
 
     def end_transactions(self, reason: str) -> None:
         """Roll back all transactions, and run no more statements.
@@ -195,18 +193,18 @@
     async def _keep_closing(self) -> None:
         while True:
             await asyncio.sleep(seconds(_CLOSE_INTERVAL))
-            await self._close_idle(QUIET_TIME)
+            await self._close_quiet(QUIET_TIME)
 
-    async def _close_idle(self, quiet: Millis) -> None:
-        """Close the connections that have been idle for some time.
+    async def _close_quiet(self, limit: Millis) -> None:
+        """Close the idle connections whose callers were quiet for some time.
 
         Closing a socket with unread bytes resets the connection, and the caller
         would not know whether its request ran. So what has arrived is read just
         before.
 
-        :param quiet: The time in ms.
+        :param limit: The time in ms.
         """
-        since = Millis(self.clock.now() - quiet)
+        since = Millis(self.clock.now() - limit)
         idle = [each for each in self.connections if each.may_close(since)]
         for start in range(0, len(idle), _CLOSE_BATCH):
             # The event loop reads what has arrived before this resumes.
