--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,8 +27,9 @@
 
 #: Seeds that failed before: in 10 and 15, SIGHUP ended a daemon that was still
 #: loading its modules. Choices are drawn in another order since, so that the
-#: same faults need not recur.
-_REGRESSIONS = (10, 15)
+#: same faults need not recur. In 2040, on an overloaded machine, the soak
+#: learned of the end of daemons seconds after they had stopped.
+_REGRESSIONS = (10, 15, 2040)
 #: Time in s of disturbances for each seed.
 _SECONDS = 5
 #: Disturbances around restores of the store, and a seed that failed with them:
