Log and count statements whose connection ends before their answer

The counts since the last report were lost when a daemon ended. Now a statement that was read and can't be answered is logged and counted, by who ended the connection, and the line of the stop holds the last counts. Only the first of several statements behind each other is noted, since a caller may have sent thousands.

--- a/monsoonproxy/client_connections.py
+++ b/monsoonproxy/client_connections.py
@@ -73,6 +73,8 @@
         self._task: asyncio.Task[None] | None = None
         self._writable: asyncio.Event | None = None
         self._closed = False
+        #: Whether this daemon, and not the caller, has ended the connection.
+        self._is_ended_here = False
         self._paused = False
         #: Whether a large statement waits until there is memory for it.
         self._is_reserving = False
@@ -107,6 +109,7 @@
     def close(self) -> None:
         """Close the connection once the written answers are sent."""
         if self._transport is not None:
+            self._is_ended_here = self._is_ended_here or not self._closed
             self._transport.close()
 
     def end_transaction(self, reason: str) -> None:
@@ -216,6 +219,7 @@
             self._refuse(Code.TOO_BIG, reason)
             return
         # A caller that does not read gets nothing more.
+        self._is_ended_here = True
         self._closed = True
         self._transport.abort()
 
@@ -237,7 +241,11 @@
             reader = self._reader
             buffered = reader.buffered
             message = reader.next_message()
-            if message is None or self._closed:
+            if message is None:
+                return
+            if self._closed:
+                # Those behind it are left: a caller may have sent thousands.
+                self._note_unanswered(message)
                 return
             size = buffered - reader.buffered
             if size >= LARGE_STATEMENT:
@@ -285,8 +293,8 @@
         elif isinstance(message, OpenSession):
             self._open(message)
         elif isinstance(message, CloseSession):
-            self.close()
             self._closed = True
+            self.close()
         else:
             self._answer_malformed(message)
 
@@ -331,6 +339,9 @@
         answer = await self._run_or_interrupt(handler, query)
         took = Millis(self._listener.clock.now() - started)
         self._listener.observer.statement_ended(handler, query, answer, took)
+        if self._closed:
+            self._note_unanswered(query)
+            return
         self._write(answer)
         if answer.code is Code.UNAUTHORISED:
             self.close()
@@ -388,6 +399,13 @@
         state = self.handler.state
         self._write(dialect.failure(message.code, message.reason, state))
 
+    def _note_unanswered(self, message: CallerMessage) -> None:
+        """Report a statement that was read but can't be answered any more."""
+        if isinstance(message, Query) and self.handler is not None:
+            self._listener.observer.statement_unanswered(
+                self.handler, message, by_caller=not self._is_ended_here
+            )
+
     def _write(self, answer: Answer) -> None:
         if not self._closed:
             self._transport.write(self._listener.dialect.answer(answer))
@@ -396,6 +414,7 @@
         if not self._closed:
             refusal = self._listener.dialect.refusal(code, reason)
             self._transport.write(refusal)
+            self._is_ended_here = True
         self._closed = True
         self.close()
 
--- a/monsoonproxy/client_listeners.py
+++ b/monsoonproxy/client_listeners.py
@@ -44,6 +44,11 @@
     ) -> None:
         """Record the answer to a statement and the time that it took."""
 
+    def statement_unanswered(
+        self, handler: SessionHandler, query: Query, *, by_caller: bool
+    ) -> None:
+        """Record that the connection of a statement ended before its answer."""
+
 
 class ClientListener:
     """Listens for callers and holds their connections.
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -223,7 +223,8 @@
         self._stopping.set()
         await self._drain()
         await self.abort()
-        _log.info('{} stopped', self._settings.name)
+        counts = self._telemetry.new_counts()
+        _log.bind(**counts).info('{} stopped', self._settings.name)
 
     async def abort(self) -> None:
         """End all tasks and close all connections without draining."""
--- a/monsoonproxy/statement_outcomes.py
+++ b/monsoonproxy/statement_outcomes.py
@@ -57,6 +57,25 @@
         if answer.code is not None or took > route.objective:
             self._log(handler, query, answer, took, stmt)
 
+    def statement_unanswered(
+        self, handler: SessionHandler, query: Query, *, by_caller: bool
+    ) -> None:
+        """Record that the connection of a statement ended before its answer.
+
+        :param handler: The caller's session.
+        :param query: The statement, which the daemon has read.
+        :param by_caller: Whether the caller ended the connection, and not the
+            daemon.
+        """
+        ended_by = 'caller' if by_caller else 'daemon'
+        self._telemetry.count(f'statements_unanswered_{ended_by}')
+        _log.bind(
+            request=query.request_id.decode(errors='replace'),
+            session=handler.session.number,
+            verb=query.verb.value,
+            ended_by=ended_by,
+        ).info('Connection ended before the answer')
+
     def _log(
         self,
         handler: SessionHandler,
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -16,7 +16,7 @@
 )
 
 from tests.fixtures import load_functions
-from tests.platform_sites import statement_runs
+from tests.platform_sites import count_events, statement_runs, wait_until
 
 load_tests = load_functions(__name__)
 
@@ -133,6 +133,36 @@
     await stopping
 
 
+async def test_unanswered_statements_are_counted(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against lost answers that neither logs nor metrics show.
+
+    It must be told apart whether the caller or the daemon ended the connection.
+    """
+    node = platform_site.nodes[0]
+    leaving = await platform_site.caller(SESSION_ROUTE)
+    staying = await platform_site.caller(SESSION_ROUTE)
+    assert not (await staying.run('READ a')).code
+    for database in platform_site.databases:
+        database.faults.work = 0.5
+    leaving.send(b'QUERY 1f READ a\r\n')
+    staying.send(b'QUERY 2f READ a\r\n')
+    await asyncio.sleep(0.1)
+    await leaving.close()
+    await wait_until(
+        lambda: count_events([node], 'statements_unanswered_caller') == 1
+    )
+    assert count_events([node], 'statements_unanswered_daemon') == 0
+    staying.send(b'QUERY 3f READ a\r\n')
+    await asyncio.sleep(0.1)
+    await node.abort()
+    await wait_until(
+        lambda: count_events([node], 'statements_unanswered_daemon') > 0
+    )
+    assert count_events([node], 'statements_unanswered_caller') == 1
+
+
 def _slow_down(site: SiteStandIn) -> None:
     for database in site.databases:
         database.faults.work = _LONG_WORK
