--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,15 @@
 """Tests of the soak: its checks on constructed records, and a short run."""
 
+import asyncio
 import pathlib
 import tempfile
 from typing import Any
+from unittest import mock
 
 import cappa
 import soak
 from stand_ins.databases import Group, LogEntry
+from stand_ins.programs import ProgramSite
 from stand_ins.sessions import ExecutedStatement, signature
 from stand_ins.site import Reply
 from stand_ins.soak import run_seed
@@ -263,6 +266,29 @@
         assert result.outcomes['answered'] > 0
 
 
+async def test_late_seed_leaves_no_daemons() -> None:
+    """Guards against daemons that run on after a seed that takes too long.
+
+    The soak restarts daemons that end by themselves, and took those that it
+    killed at the end for such.
+    """
+    sites = []
+
+    def new_site(*arguments: Any) -> ProgramSite:
+        sites.append(ProgramSite(*arguments))
+        return sites[0]
+
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        mock.patch('stand_ins.soak._SEED_MARGIN', 0),
+        mock.patch('stand_ins.soak.ProgramSite', new_site),
+    ):
+        result = await run_seed(1, 2, pathlib.Path(directory), ('configure',))
+        await asyncio.sleep(1)
+    assert all(daemon.process.ended for daemon in sites[0].daemons)
+    assert result.violations == ('the seed did not end within 2 s',)
+
+
 def test_command_line_of_soak() -> None:
     """Guards against options that can't be left out, as the manual does."""
     found = cappa.parse(soak.Soak, argv=['--seeds', '1-50', '--seconds', '20'])
