Give open transactions until 0.8 of the grace period to end

Now nothing new is begun from half of the grace period on, and open transactions go on until 0.8 of it. The time from there to the end, 0.1 of the grace period, is left for callers to send their next statement and learn that their transaction has ended. The refusal says that the caller may connect again. A daemon that no caller uses any more still ends at once. Evidence: test_shutdown_lets_transactions_end fails before (ABORTED) and passes now; the 5 other tests of tests/test_shutdown.py passed.

--- a/monsoonproxy/client_connections.py
+++ b/monsoonproxy/client_connections.py
@@ -367,7 +367,8 @@
             self._refused_at = self._refused_at or listener.clock.now()
             return handler.refuse(listener.stop_reason)
         answer = await self._run_reserved(handler, query)
-        if listener.stop_reason and handler.state is TransactionState.OPEN:
+        is_open = handler.state is TransactionState.OPEN
+        if is_open and listener.ends_transactions:
             handler.abort(listener.stop_reason)
         return answer
 
--- a/monsoonproxy/client_listeners.py
+++ b/monsoonproxy/client_listeners.py
@@ -80,8 +80,11 @@
         self.observer = observer
         self.session_numbers = itertools.count(1)
         self.connections: set[ClientConnection] = set()
-        #: Why no more statements are run; empty while they are.
+        #: Why no more sessions, transactions and single statements are begun;
+        #: empty while they are.
         self.stop_reason = ''
+        #: Whether open transactions are rolled back for the same reason.
+        self.ends_transactions = False
         self.max_connections = max_connections
         self.budget = ByteBudget(max_bytes)
         self.reservations = Reservations(int(max_bytes * _LARGE_SHARE))
@@ -110,37 +113,43 @@
             loop = asyncio.get_running_loop()
             self._closer = loop.create_task(self._keep_closing())
 
-    async def finish(self, reason: str) -> None:
+    async def finish(self) -> None:
         """Answer the running statements, and close all idle connections.
 
         A statement that has not run is refused; of the others, the outcome is
         unknown.
-
-        :param reason: Human-readable explanation for the callers.
         """
-        self.stop_reason = reason
         interrupted = sum(
             [connection.interrupt() for connection in self.connections]
         )
         if interrupted:
             _log.warning(
-                'Answered {} running statements: {}', interrupted, reason
+                'Answered {} running statements: {}',
+                interrupted,
+                self.stop_reason,
             )
             # The tasks of the statements write their answers.
             await asyncio.sleep(seconds(_CLOSE_INTERVAL))
         await self._close_quiet(Millis(0))
 
-    def end_transactions(self, reason: str) -> None:
-        """Roll back all transactions, and run no more statements.
+    def refuse_new(self, reason: str) -> None:
+        """Refuse sessions, transactions and single statements from now on.
 
-        Running statements are answered first. A caller is told when it sends
-        its next statement.
+        Open transactions go on.
 
         :param reason: Human-readable explanation for the callers.
         """
         self.stop_reason = reason
+
+    def end_transactions(self) -> None:
+        """Roll back all transactions, since new ones are refused.
+
+        Running statements are answered first. A caller is told when it sends
+        its next statement.
+        """
+        self.ends_transactions = True
         for connection in tuple(self.connections):
-            connection.end_transaction(reason)
+            connection.end_transaction(self.stop_reason)
 
     def end_idle_transactions(self, limit: Millis) -> int:
         """Roll back transactions that have been idle for too long.
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -43,12 +43,17 @@
 #: Time in ms between two checks for idle transactions and lapsed entries.
 _SWEEP_INTERVAL = Millis(250)
 #: Shares of the time between SIGTERM and SIGKILL after which idle sessions are
-#: closed, open transactions are ended, and the process ends.
+#: closed, nothing new is begun, open transactions are ended, and the process
+#: ends. Transactions that were begun before the second are lost to the stop
+#: only if they last longer than until the third. Between the last two, callers
+#: send their next statement and learn that their transaction has ended.
 _CLOSE_SHARE = 0.35
-_TRANSACTIONS_SHARE = 0.5
+_REFUSE_SHARE = 0.5
+_TRANSACTIONS_SHARE = 0.8
 _END_SHARE = 0.9
 #: What callers are told whose statements are not run while the daemon stops.
-_STOP_REASON = 'the daemon is stopping'
+#: The load balancer sends new connections elsewhere by then.
+_STOP_REASON = 'the daemon is stopping; connect again'
 #: Time in ms between two checks whether callers are still connected.
 _DRAIN_POLL_INTERVAL = 50
 #: Time in ms after the start during which connections are not planned, and so
@@ -371,15 +376,19 @@
         # is not ready. Until then, closed callers would reconnect to it.
         await asyncio.sleep(seconds(grace) * _CLOSE_SHARE)
         await self._clients.close_idle()
-        until = began + grace * _TRANSACTIONS_SHARE
-        while self._clients.connections and clock.now() < until:
-            await asyncio.sleep(seconds(_DRAIN_POLL_INTERVAL))
-        self._clients.end_transactions(_STOP_REASON)
+        await self._wait_for_callers(began + grace * _REFUSE_SHARE)
+        self._clients.refuse_new(_STOP_REASON)
+        await self._wait_for_callers(began + grace * _TRANSACTIONS_SHARE)
+        self._clients.end_transactions()
         until = began + grace * _END_SHARE
-        while self._clients.connections and clock.now() < until:
-            await asyncio.sleep(seconds(_DRAIN_POLL_INTERVAL))
+        await self._wait_for_callers(until)
         await wait_idle(self._relay, until - clock.now())
-        await self._clients.finish(_STOP_REASON)
+        await self._clients.finish()
+
+    async def _wait_for_callers(self, until: float) -> None:
+        """Wait until all callers have left, or until a time in ms."""
+        while self._clients.connections and self._clock.now() < until:
+            await asyncio.sleep(seconds(_DRAIN_POLL_INTERVAL))
 
     async def _sweep(self) -> None:
         while True:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,7 +1,7 @@
 """Tests of what callers see while a daemon stops, through complete daemons.
 
-The daemons stop within 3 s: they close idle connections after 1.05 s, end
-transactions after 1.5 s, and end after 2.7 s.
+The daemons stop within 3 s: they close idle connections after 1.05 s, begin
+nothing new after 1.5 s, end transactions after 2.4 s, and end after 2.7 s.
 """
 
 import asyncio
@@ -108,6 +108,29 @@
     assert all([await caller.closed() for caller in callers])
 
 
+async def test_shutdown_lets_transactions_end(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against transactions lost to a stop that had time to commit.
+
+    Nothing new is begun in that time, so that the daemon ends.
+    """
+    caller = await platform_site.caller(PRIMARY_ROUTE)
+    await caller.run('BEGIN')
+    stopping = asyncio.create_task(platform_site.nodes[0].stop())
+    replies = []
+    for _ in range(5):
+        await asyncio.sleep(0.4)
+        replies.append(await caller.run('WRITE a 1'))
+    replies.append(await caller.run('COMMIT'))
+    assert not any(reply.code for reply in replies)
+    for text in ('BEGIN', 'READ a'):
+        refusal = await caller.run(text)
+        assert (refusal.code, refusal.state) == ('BUSY', b'I')
+    assert await caller.closed()
+    await stopping
+
+
 async def test_shutdown_answers_late_sessions(
     platform_site: SiteStandIn,
 ) -> None:
