Answer large statements that wait for memory at the end of a stop as not run

What callers saw: `in doubt`, or a timeout, for a statement that had not run. Cause: a large statement waits for memory before its session handles it, and the answer to an interrupted statement was made from the state of the previous one. Evidence: test_shutdown_refuses_large_statements_that_wait fails before (INDOUBT instead of BUSY) and passes now.

--- a/monsoonproxy/client_connections.py
+++ b/monsoonproxy/client_connections.py
@@ -379,6 +379,9 @@
         size = len(query.text) * _COPIES
         if len(query.text) < LARGE_STATEMENT:
             return await handler.run(query)
+        # If it is interrupted while it waits, its answer must not depend on
+        # whether the previous statement was sent.
+        handler.stmt = None
         reservations = self._listener.reservations
         self._is_reserving = True
         try:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -15,6 +15,8 @@
     SiteStandIn,
 )
 
+from monsoonproxy.client_connections import LARGE_STATEMENT
+from monsoonproxy.clock import Millis
 from tests.fixtures import load_functions
 from tests.platform_sites import count_events, statement_runs, wait_until
 
@@ -131,6 +133,28 @@
     await stopping
 
 
+async def test_shutdown_refuses_large_statements_that_wait(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against a waiting statement that is answered as in doubt.
+
+    It waits until there is memory for it when the daemon ends, after a
+    statement of the same session that ran. It has not run.
+    """
+    caller = await platform_site.caller(SESSION_ROUTE)
+    assert not (await caller.run('WRITE a 1')).code
+    node = platform_site.nodes[0]
+    reservations = node._clients.reservations
+    assert await reservations.acquire(reservations.limit, Millis(0))
+    stopping = asyncio.create_task(node.stop())
+    await asyncio.sleep(0.9)
+    text = 'x' * LARGE_STATEMENT
+    reply = await caller.run(f'WRITE b {text}', 'large')
+    assert (reply.code, reply.state) == ('BUSY', b'I')
+    await stopping
+    assert not statement_runs(platform_site, 'large')
+
+
 async def test_shutdown_answers_late_sessions(
     platform_site: SiteStandIn,
 ) -> None:
