Leave times without processor time out of the wait for delegates

Seen: test_restart_of_all_spares_the_store fails at a load of 20 to 30: up to all 12 daemons read the configuration and the entries, instead of the 3 delegates. Cause: a daemon waits 0.2 s from its start for what delegates send. A daemon that gets no processor time meanwhile wakes up after that, and follows the store before it reads what has arrived. The check and the time of 0.2 s are as they were.

--- a/monsoonproxy/delegation.py
+++ b/monsoonproxy/delegation.py
@@ -29,6 +29,9 @@
 #: Time in ms after its start within which such a daemon must receive presences
 #: of delegates once it has both. Delegates send them every 2 s.
 _DELEGATES_DEADLINE = Millis(2_500)
+#: Longest time in ms that is left out of these because the daemon did not run.
+#: On a host that is slow for good it follows the store after all.
+_MAX_SUSPENDED = Millis(2_000)
 
 
 class Delegation:
@@ -57,6 +60,8 @@
         self._supervisor = supervisor
         self._clock = clock
         self._started_at = clock.now()
+        #: Time in ms since then in which this daemon did not run.
+        self._suspended = Millis(0)
         self._chosen: frozenset[str] = frozenset()
         self._followers = {
             'routes': TableFollower(
@@ -92,6 +97,16 @@
         """
         self._chosen = delegate_selection.choose_delegates(hosts)
 
+    def note_suspension(self, took: Millis) -> None:
+        """Leave a time out of the deadlines in which this daemon did not run.
+
+        What its peers have sent meanwhile is not read yet.
+
+        :param took: The time in ms.
+        """
+        total = Millis(self._suspended + took)
+        self._suspended = min(total, _MAX_SUSPENDED)
+
     async def update(self, alive: Iterable[Peer], era: int) -> None:
         """Start or stop following the store.
 
@@ -132,7 +147,7 @@
         version, entries = self._catalog.versions()
         has_all = version > 0 and entries > Revision()
         limit = _DELEGATES_DEADLINE if has_all else self._update_deadline
-        return now - self._started_at < limit
+        return now - self._started_at - self._suspended < limit
 
     def _apply_server_rows(self, changes: TableRows, whole: bool) -> None:
         failed_at = self._followers['servers'].failed_at
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -42,6 +42,8 @@
 
 #: Time in ms between two checks for idle transactions and lapsed entries.
 _SWEEP_INTERVAL = Millis(250)
+#: Time in ms between two of them above which the daemon was starved.
+_STARVED_INTERVAL = Millis(300)
 #: Shares of the time between SIGTERM and SIGKILL after which idle sessions are
 #: closed, nothing new is begun, open transactions are ended, and the process
 #: ends. Transactions that were begun before the second are lost to the stop
@@ -392,7 +394,11 @@
 
     async def _sweep(self) -> None:
         while True:
+            since = self._clock.now()
             await asyncio.sleep(seconds(_SWEEP_INTERVAL))
+            took = Millis(self._clock.now() - since)
+            if took > _STARVED_INTERVAL:
+                self._delegation.note_suspension(took)
             self._clients.end_slow()
             if self.catalog.table is not None:
                 limit = self.catalog.table.idle_transaction
