Tell callers of a rolled back transaction when a daemon ends

What callers saw: a caller that paused in a transaction from 0.8 of the grace period until the end got a close and nothing else, so that it could not know that its transaction was rolled back. Callers must learn that with their next statement, and there may be none. Now such a caller gets ABORTED, a promise, before its connection is closed. What has arrived is read and answered first. Evidence: test_shutdown_tells_of_ended_transactions fails before (nothing was received) and passes now.

--- a/monsoonproxy/client_connections.py
+++ b/monsoonproxy/client_connections.py
@@ -74,7 +74,7 @@
         self._writable: asyncio.Event | None = None
         self._closed = False
         #: Whether this daemon, and not the caller, has ended the connection.
-        self._is_ended_here = False
+        self.is_ended_here = False
         self._paused = False
         #: Whether a large statement waits until there is memory for it.
         self._is_reserving = False
@@ -93,7 +93,12 @@
         """Tell whether there is neither part of a request nor a transaction."""
         handler = self.handler
         in_transaction = handler and handler.transaction is not None
-        return not (self.busy or self._reader.buffered or in_transaction)
+        return self.is_waiting and not in_transaction
+
+    @property
+    def is_waiting(self) -> bool:
+        """Tell whether there is no part of a request, and none in work."""
+        return not (self.busy or self._reader.buffered)
 
     def may_close(self, quiet_since: Millis) -> bool:
         """Tell whether it is idle, and its caller is not likely to go on.
@@ -109,9 +114,21 @@
     def close(self) -> None:
         """Close the connection once the written answers are sent."""
         if self._transport is not None:
-            self._is_ended_here = self._is_ended_here or not self._closed
+            self.is_ended_here = self.is_ended_here or not self._closed
             self._transport.close()
 
+    def close_waiting(self) -> None:
+        """Close the connection of a caller that waits for nothing.
+
+        If its transaction was rolled back since its last statement, it is told
+        so; an error before the close is no answer to a statement.
+        """
+        transaction = self.handler and self.handler.transaction
+        if transaction and transaction.reason:
+            self._refuse(Code.ABORTED, transaction.reason)
+        else:
+            self.close()
+
     def end_transaction(self, reason: str) -> None:
         """Roll back the open transaction, unless a statement is running.
 
@@ -219,7 +236,7 @@
             self._refuse(Code.TOO_BIG, reason)
             return
         # A caller that does not read gets nothing more.
-        self._is_ended_here = True
+        self.is_ended_here = True
         self._closed = True
         self._transport.abort()
 
@@ -245,7 +262,7 @@
                 return
             if self._closed:
                 # Those behind it are left: a caller may have sent thousands.
-                self._note_unanswered(message)
+                self._listener.note_unanswered(self, message)
                 return
             size = buffered - reader.buffered
             if size >= LARGE_STATEMENT:
@@ -340,7 +357,7 @@
         took = Millis(self._listener.clock.now() - started)
         self._listener.observer.statement_ended(handler, query, answer, took)
         if self._closed:
-            self._note_unanswered(query)
+            self._listener.note_unanswered(self, query)
             return
         self._write(answer)
         if answer.code is Code.UNAUTHORISED:
@@ -403,13 +420,6 @@
         state = self.handler.state
         self._write(dialect.failure(message.code, message.reason, state))
 
-    def _note_unanswered(self, message: CallerMessage) -> None:
-        """Report a statement that was read but can't be answered any more."""
-        if isinstance(message, Query) and self.handler is not None:
-            self._listener.observer.statement_unanswered(
-                self.handler, message, by_caller=not self._is_ended_here
-            )
-
     def _write(self, answer: Answer) -> None:
         if not self._closed:
             self._transport.write(self._listener.dialect.answer(answer))
@@ -418,7 +428,7 @@
         if not self._closed:
             refusal = self._listener.dialect.refusal(code, reason)
             self._transport.write(refusal)
-            self._is_ended_here = True
+            self.is_ended_here = True
         self._closed = True
         self.close()
 
--- a/monsoonproxy/client_listeners.py
+++ b/monsoonproxy/client_listeners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from typing import Protocol
 
 from monsoonproxy.client_connections import (
@@ -10,7 +11,7 @@
     ClientConnection,
 )
 from monsoonproxy.clock import Clock, Millis, seconds
-from monsoonproxy.dialects import Dialect
+from monsoonproxy.dialects import CallerMessage, Dialect
 from monsoonproxy.logs import log_for
 from monsoonproxy.overload.byte_budgets import ByteBudget, Reservations
 from monsoonproxy.queries import Answer, Query
@@ -108,13 +109,13 @@
         The others are closed once they have been idle for a moment, since a
         caller may send its next statement as soon as it has an answer.
         """
-        await self._close_quiet(QUIET_TIME)
+        await self._close_quiet()
         if self._closer is None:
             loop = asyncio.get_running_loop()
             self._closer = loop.create_task(self._keep_closing())
 
     async def finish(self) -> None:
-        """Answer the running statements, and close all idle connections.
+        """Answer the running statements, and close the other connections.
 
         A statement that has not run is refused; of the others, the outcome is
         unknown.
@@ -130,7 +131,22 @@
             )
             # The tasks of the statements write their answers.
             await asyncio.sleep(seconds(_CLOSE_INTERVAL))
-        await self._close_quiet(Millis(0))
+        await self._close_if(lambda connection: connection.is_waiting)
+
+    def note_unanswered(
+        self, connection: ClientConnection, message: CallerMessage
+    ) -> None:
+        """Report a statement that was read but can't be answered any more.
+
+        :param connection: The connection, which has ended.
+        :param message: What the caller sent.
+        """
+        handler = connection.handler
+        if isinstance(message, Query) and handler is not None:
+            by_caller = not connection.is_ended_here
+            self.observer.statement_unanswered(
+                handler, message, by_caller=by_caller
+            )
 
     def refuse_new(self, reason: str) -> None:
         """Refuse sessions, transactions and single statements from now on.
@@ -207,23 +223,29 @@
     async def _keep_closing(self) -> None:
         while True:
             await asyncio.sleep(seconds(_CLOSE_INTERVAL))
-            await self._close_quiet(QUIET_TIME)
+            await self._close_quiet()
+
+    async def _close_quiet(self) -> None:
+        """Close the idle connections whose callers were quiet for a moment."""
+        since = Millis(self.clock.now() - QUIET_TIME)
+        await self._close_if(lambda connection: connection.may_close(since))
 
-    async def _close_quiet(self, limit: Millis) -> None:
-        """Close the idle connections whose callers were quiet for some time.
+    async def _close_if(
+        self, may_close: Callable[[ClientConnection], bool]
+    ) -> None:
+        """Close the connections for which a condition holds.
 
         Closing a socket with unread bytes resets the connection, and the caller
         would not know whether its request ran. So what has arrived is read just
         before.
 
-        :param limit: The time in ms.
+        :param may_close: The condition.
         """
-        since = Millis(self.clock.now() - limit)
-        idle = [each for each in self.connections if each.may_close(since)]
-        for start in range(0, len(idle), _CLOSE_BATCH):
+        chosen = list(filter(may_close, self.connections))
+        for start in range(0, len(chosen), _CLOSE_BATCH):
             # The event loop reads what has arrived before this resumes.
             await asyncio.sleep(0)
             await asyncio.sleep(0)
-            for connection in idle[start : start + _CLOSE_BATCH]:
-                if connection.may_close(since):
-                    connection.close()
+            for connection in chosen[start : start + _CLOSE_BATCH]:
+                if may_close(connection):
+                    connection.close_waiting()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -155,6 +155,26 @@
     assert not statement_runs(platform_site, 'large')
 
 
+async def test_shutdown_tells_of_ended_transactions(
+    platform_site: SiteStandIn,
+) -> None:
+    """Guards against a close that tells nothing of a rolled back transaction.
+
+    A caller that pauses until the daemon has ended could not know that the
+    transaction was rolled back.
+    """
+    caller = await platform_site.caller(PRIMARY_ROUTE)
+    stopping = asyncio.create_task(platform_site.nodes[0].stop())
+    await asyncio.sleep(0.9)
+    await caller.run('BEGIN')
+    await asyncio.sleep(0.8)
+    assert not (await caller.run('WRITE a 1')).code
+    rest = await caller.rest()
+    assert rest.startswith(b'ERROR ABORTED ')
+    assert rest.endswith(b'\r\n')
+    await stopping
+
+
 async def test_shutdown_answers_late_sessions(
     platform_site: SiteStandIn,
 ) -> None:
