Begin long transactions at a stopping daemon again

Takes back, which refused transactions at BEGIN from SIGTERM on if those of their route last longer on average than the daemon. The platform chooses by a hash of the client: a refused caller that connects again reaches the same daemon until the balancer has noticed the stop, for up to two seconds, and most routes give it less. One average also speaks for short and long transactions of a route. Its tests go with the code that they tested.

--- a/monsoonproxy/client_connections.py
+++ b/monsoonproxy/client_connections.py
@@ -13,13 +13,7 @@
     OpenSession,
 )
 from monsoonproxy.logs import log_for
-from monsoonproxy.queries import (
-    Answer,
-    Code,
-    Query,
-    TransactionState,
-    Verb,
-)
+from monsoonproxy.queries import Answer, Code, Query, TransactionState
 from monsoonproxy.server_connections import configure_keepalive
 from monsoonproxy.session_handlers import SessionHandler
 
@@ -386,15 +380,10 @@
 
     async def _run(self, handler: SessionHandler, query: Query) -> Answer:
         listener = self._listener
-        if handler.transaction is None:
-            refusal = listener.refusal(handler.database, query.verb)
-            if refusal:
-                self._refused_at = self._refused_at or listener.clock.now()
-                return handler.refuse(refusal)
-        transaction = handler.transaction
+        if listener.stop_reason and handler.transaction is None:
+            self._refused_at = self._refused_at or listener.clock.now()
+            return handler.refuse(listener.stop_reason)
         answer = await self._run_reserved(handler, query)
-        if transaction and query.verb is Verb.COMMIT and not answer.code:
-            listener.note_commit(handler.database, transaction.began_at)
         is_open = handler.state is TransactionState.OPEN
         if is_open and listener.ends_transactions:
             handler.abort(listener.stop_reason)
--- a/monsoonproxy/client_listeners.py
+++ b/monsoonproxy/client_listeners.py
@@ -14,13 +14,12 @@
 from monsoonproxy.dialects import CallerMessage, Dialect
 from monsoonproxy.logs import log_for
 from monsoonproxy.overload.byte_budgets import ByteBudget, Reservations
-from monsoonproxy.queries import Answer, Query, Verb
+from monsoonproxy.queries import Answer, Query
 from monsoonproxy.session_handlers import (
     OperationLimits,
     ServiceLookup,
     SessionHandler,
 )
-from monsoonproxy.transaction_times import TransactionTimes
 
 _log = log_for('client')
 
@@ -85,10 +84,6 @@
         #: Why no more sessions, transactions and single statements are begun;
         #: empty while they are.
         self.stop_reason = ''
-        #: Average length of transactions, and when open ones are rolled back if
-        #: the daemon stops.
-        self.transaction_times = TransactionTimes()
-        self._transactions_end_at: Millis | None = None
         #: Whether open transactions are rolled back for the same reason.
         self.ends_transactions = False
         self.max_connections = max_connections
@@ -153,39 +148,6 @@
                 handler, message, by_caller=by_caller
             )
 
-    def note_commit(self, database: str, began_at: Millis) -> None:
-        """Note the length of a transaction.
-
-        :param database: Database name of its session.
-        :param began_at: Time in ms of its BEGIN.
-        """
-        took = Millis(self.clock.now() - began_at)
-        self.transaction_times.record(database, took)
-
-    def refuse_long_transactions(self, until: Millis) -> None:
-        """Refuse transactions that usually take too long to end in time.
-
-        Their callers would lose the work that they have done in them.
-
-        :param until: Time in ms at which open transactions are rolled back.
-        """
-        self._transactions_end_at = until
-
-    def refusal(self, database: str, verb: Verb) -> str:
-        """Tell why a statement outside of a transaction is not run.
-
-        :param database: Database name of its session.
-        :param verb: Its verb.
-        :returns: Explanation for the caller; empty if the statement is run.
-        """
-        if self.stop_reason or verb is not Verb.BEGIN:
-            return self.stop_reason
-        until = self._transactions_end_at
-        usual = self.transaction_times.usual(database)
-        if until is None or self.clock.now() + usual <= until:
-            return ''
-        return 'the daemon stops before a usual transaction ends; connect again'
-
     def refuse_new(self, reason: str) -> None:
         """Refuse sessions, transactions and single statements from now on.
 
--- a/monsoonproxy/node.py
+++ b/monsoonproxy/node.py
@@ -374,15 +374,13 @@
         )
         self._gossip.leaving = True
         self._gossip.announce(self._peers.all())
-        transactions_end_at = Millis(began + int(grace * _TRANSACTIONS_SHARE))
-        self._clients.refuse_long_transactions(transactions_end_at)
         # The load balancer detects within two health probes that this daemon
         # is not ready. Until then, closed callers would reconnect to it.
         await asyncio.sleep(seconds(grace) * _CLOSE_SHARE)
         await self._clients.close_idle()
         await self._wait_for_callers(began + grace * _REFUSE_SHARE)
         self._clients.refuse_new(_STOP_REASON)
-        await self._wait_for_callers(transactions_end_at)
+        await self._wait_for_callers(began + grace * _TRANSACTIONS_SHARE)
         self._clients.end_transactions()
         until = began + grace * _END_SHARE
         await self._wait_for_callers(until)
--- a/monsoonproxy/transaction_affinity.py
+++ b/monsoonproxy/transaction_affinity.py
@@ -42,7 +42,6 @@
     :param runner: Runs statements on the backend servers of the service.
     :param read_only: Whether the caller began it as read-only, so that a
         replica may run it if the route allows that.
-    :param began_at: Time in ms of its BEGIN.
     :param last_used_at: Time at which its latest statement ended.
     :param has_written: Whether one of its writes ran.
     :param length: Number of its statements that ran.
@@ -54,8 +53,7 @@
 
     runner: StatementRunner
     read_only: bool
-    began_at: Millis
-    last_used_at: Millis = attrs.field()
+    last_used_at: Millis
     has_written: bool = False
     length: int = 0
     admitted: bool = False
@@ -64,10 +62,6 @@
     _lease: Lease | None = None
     _overloads: list[OverloadError] = attrs.Factory(list)
 
-    @last_used_at.default
-    def _begin(self) -> Millis:
-        return self.began_at
-
     async def run(self, stmt: PendingStatement) -> Answer:
         """Run a read or a write on the transaction's connection.
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -133,29 +133,26 @@
     await stopping
 
 
-async def test_shutdown_refuses_transactions_that_last_too_long(
+async def test_shutdown_refuses_large_statements_that_wait(
     platform_site: SiteStandIn,
 ) -> None:
-    """Guards against transactions that are begun although they can't end.
+    """Guards against a waiting statement that is answered as in doubt.
 
-    Callers on one route take 2.5 s for theirs. A stopping daemon would roll
-    them back after 2.4 s; their callers can go to another one at once.
+    It waits until there is memory for it when the daemon ends, after a
+    statement of the same session that ran. It has not run.
     """
     caller = await platform_site.caller(SESSION_ROUTE)
-    other = await platform_site.caller(PRIMARY_ROUTE)
-    await caller.run('BEGIN')
-    for _ in range(5):
-        await asyncio.sleep(0.5)
-        assert not (await caller.run('READ a')).code
-    assert not (await caller.run('COMMIT')).code
-    stopping = asyncio.create_task(platform_site.nodes[0].stop())
-    await asyncio.sleep(0.1)
-    refusal = await caller.run('BEGIN')
-    assert (refusal.code, refusal.state) == ('BUSY', b'I')
-    for text in ('BEGIN', 'READ a', 'COMMIT'):
-        assert not (await other.run(text)).code
-    assert not (await caller.run('READ a')).code
+    assert not (await caller.run('WRITE a 1')).code
+    node = platform_site.nodes[0]
+    reservations = node._clients.reservations
+    assert await reservations.acquire(reservations.limit, Millis(0))
+    stopping = asyncio.create_task(node.stop())
+    await asyncio.sleep(0.9)
+    text = 'x' * LARGE_STATEMENT
+    reply = await caller.run(f'WRITE b {text}', 'large')
+    assert (reply.code, reply.state) == ('BUSY', b'I')
     await stopping
+    assert not statement_runs(platform_site, 'large')
 
 
 async def test_shutdown_tells_of_ended_transactions(
@@ -178,28 +175,6 @@
     await stopping
 
 
-async def test_shutdown_refuses_large_statements_that_wait(
-    platform_site: SiteStandIn,
-) -> None:
-    """Guards against a waiting statement that is answered as in doubt.
-
-    It waits until there is memory for it when the daemon ends, after a
-    statement of the same session that ran. It has not run.
-    """
-    caller = await platform_site.caller(SESSION_ROUTE)
-    assert not (await caller.run('WRITE a 1')).code
-    node = platform_site.nodes[0]
-    reservations = node._clients.reservations
-    assert await reservations.acquire(reservations.limit, Millis(0))
-    stopping = asyncio.create_task(node.stop())
-    await asyncio.sleep(0.9)
-    text = 'x' * LARGE_STATEMENT
-    reply = await caller.run(f'WRITE b {text}', 'large')
-    assert (reply.code, reply.state) == ('BUSY', b'I')
-    await stopping
-    assert not statement_runs(platform_site, 'large')
-
-
 async def test_shutdown_answers_late_sessions(
     platform_site: SiteStandIn,
 ) -> None:
