Share the clock that two tests set

tests/test_delegation.py had a copy of the clock of tests/test_peer_cleanup.py. Both use one of tests/fixtures.py now; no assertion changed.

--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -14,12 +14,25 @@
 
 import uvloop
 
+from monsoonproxy.clock import Clock, Millis
+
 #: Time in s after which a test fails; far above the time that any test takes.
 _TEST_TIMEOUT_S = 120
 
 _fixtures: dict[str, Callable[..., Any]] = {}
 
 
+class ManualClock(Clock):
+    """A clock whose time the tests set."""
+
+    def __init__(self) -> None:
+        self.time = Millis(1_000)
+
+    def now(self) -> Millis:
+        """Return the time that was set."""
+        return self.time
+
+
 def fixture(function: Callable[..., Any]) -> Callable[..., Any]:
     """Register a fixture under the name of its function.
 
--- a/tests/test_delegation.py
+++ b/tests/test_delegation.py
@@ -8,22 +8,11 @@
 from monsoonproxy.clock import Clock, Millis
 from monsoonproxy.delegation import Delegation
 from monsoonproxy.stores import Revision
-from tests.fixtures import load_functions
+from tests.fixtures import ManualClock, load_functions
 
 load_tests = load_functions(__name__)
 
 
-class _ManualClock(Clock):
-    """A clock whose time the tests set."""
-
-    def __init__(self) -> None:
-        self.time = Millis(1_000)
-
-    def now(self) -> Millis:
-        """Return the time that was set."""
-        return self.time
-
-
 @attrs.define
 class _SupervisorStub:
     """Records the followers that are started.
@@ -63,7 +52,7 @@
     The machine gives a daemon no processor time just after its start, so that
     its time for news of delegates is over before it has read them.
     """
-    clock, supervisor = _ManualClock(), _SupervisorStub()
+    clock, supervisor = ManualClock(), _SupervisorStub()
     delegation = _delegation(clock, supervisor)
     clock.time = Millis(1_650)
     delegation.note_suspension(Millis(650))
@@ -76,7 +65,7 @@
 
 async def test_slow_daemon_follows_the_store() -> None:
     """Guards against a daemon on a slow host that waits for ever."""
-    clock, supervisor = _ManualClock(), _SupervisorStub()
+    clock, supervisor = ManualClock(), _SupervisorStub()
     delegation = _delegation(clock, supervisor)
     for _ in range(5):
         clock.time = Millis(clock.time + 500)
--- a/tests/test_peer_cleanup.py
+++ b/tests/test_peer_cleanup.py
@@ -7,11 +7,11 @@
 import attrs
 
 from monsoonproxy import gossip_messages
-from monsoonproxy.clock import Clock, Millis
+from monsoonproxy.clock import Millis
 from monsoonproxy.peer_cleanup import CleanupRules, PeerCleanup
 from monsoonproxy.peer_list import PeerList
 from monsoonproxy.stores import Revision, StoreRow, Table, TableRows
-from tests.fixtures import fixture, load_functions
+from tests.fixtures import ManualClock, fixture, load_functions
 
 load_tests = load_functions(__name__)
 
@@ -25,17 +25,6 @@
     )
 
 
-class _ManualClock(Clock):
-    """A clock whose time the tests set."""
-
-    def __init__(self) -> None:
-        self.time = Millis(1_000)
-
-    def now(self) -> Millis:
-        """Return the time that was set."""
-        return self.time
-
-
 @attrs.define
 class _ListStub:
     """Stands in for the store: the list of daemons in memory.
@@ -71,7 +60,7 @@
 class _CleanupSite:
     """The cleanup of a delegate, with its list of daemons and its peers."""
 
-    clock: _ManualClock
+    clock: ManualClock
     listed: _ListStub
     peers: PeerList
     retirement: Any
@@ -104,7 +93,7 @@
 @fixture
 def cleanup_site() -> Iterator[_CleanupSite]:
     """Yield the cleanup of a delegate on a site of ten daemons."""
-    clock = _ManualClock()
+    clock = ManualClock()
     rows = {
         f'd{number}': StoreRow(f'd{number}', b'x', Revision(1, 1))
         for number in range(_COUNT)
