--- /dev/null
+++ b/review/stand_ins_2/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform, its databases and callers, for cases."""
